--- /dev/null
+++ b/src/core/codec.hpp
@@ -0,0 +1,161 @@
+#ifndef PARSLEYPLANK_CORE_CODEC_HPP
+#define PARSLEYPLANK_CORE_CODEC_HPP
+
+// MessagePack coding of plain structs. A struct takes part by naming its
+// members with MSGPACK_DEFINE_ARRAY(...); ids and units of the core library
+// are coded as their value.
+
+#include <parsleyplank/core/error.hpp>
+#include <parsleyplank/core/hash.hpp>
+#include <parsleyplank/core/ids.hpp>
+#include <parsleyplank/core/units.hpp>
+
+#include <msgpack.hpp>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+namespace parsleyplank
+{
+
+// Returns the MessagePack form of the value.
+template <typename Value>
+std::string pack_value(const Value& value)
+{
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, value);
+    return {buf.data(), buf.size()};
+}
+
+// Returns the value that the bytes hold. The name tells where the bytes came
+// from. Throws codec_error, which holds the name, if the bytes are not one
+// whole value of this type.
+template <typename Value>
+Value unpack_value(std::string_view bytes, std::string_view name)
+{
+    try
+    {
+        std::size_t n = 0;
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), n);
+        if (n != bytes.size())
+            throw codec_error(std::string(name) + ": " +
+                              std::to_string(bytes.size() - n) +
+                              " bytes after the value");
+        return handle.get().as<Value>();
+    }
+    catch (const msgpack::unpack_error& ec)
+    {
+        throw codec_error(std::string(name) + ": " + ec.what());
+    }
+    catch (const msgpack::type_error& ec)
+    {
+        throw codec_error(std::string(name) + ": " + ec.what());
+    }
+}
+
+} // namespace parsleyplank
+
+namespace msgpack
+{
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS)
+{
+    namespace adaptor
+    {
+
+    // Codes a struct as its one member named value.
+    template <typename Wrapped>
+    struct convert_wrapped
+    {
+        const msgpack::object& operator()(const msgpack::object& o,
+                                          Wrapped& wrapped) const
+        {
+            o.convert(wrapped.value);
+            return o;
+        }
+    };
+
+    template <typename Wrapped>
+    struct pack_wrapped
+    {
+        template <typename Stream>
+        packer<Stream>& operator()(packer<Stream>& o,
+                                   const Wrapped& wrapped) const
+        {
+            o.pack(wrapped.value);
+            return o;
+        }
+    };
+
+    template <typename Tag>
+    struct convert<parsleyplank::name_id<Tag>>
+        : convert_wrapped<parsleyplank::name_id<Tag>>
+    {
+    };
+    template <typename Tag>
+    struct pack<parsleyplank::name_id<Tag>>
+        : pack_wrapped<parsleyplank::name_id<Tag>>
+    {
+    };
+    template <typename Tag>
+    struct convert<parsleyplank::number_id<Tag>>
+        : convert_wrapped<parsleyplank::number_id<Tag>>
+    {
+    };
+    template <typename Tag>
+    struct pack<parsleyplank::number_id<Tag>>
+        : pack_wrapped<parsleyplank::number_id<Tag>>
+    {
+    };
+    template <typename Tag>
+    struct convert<parsleyplank::quantity<Tag>>
+        : convert_wrapped<parsleyplank::quantity<Tag>>
+    {
+    };
+    template <typename Tag>
+    struct pack<parsleyplank::quantity<Tag>>
+        : pack_wrapped<parsleyplank::quantity<Tag>>
+    {
+    };
+    template <>
+    struct convert<parsleyplank::share_ppm>
+        : convert_wrapped<parsleyplank::share_ppm>
+    {
+    };
+    template <>
+    struct pack<parsleyplank::share_ppm> : pack_wrapped<parsleyplank::share_ppm>
+    {
+    };
+
+    template <>
+    struct convert<parsleyplank::hash128_value>
+    {
+        const msgpack::object& operator()(const msgpack::object& o,
+                                          parsleyplank::hash128_value& v) const
+        {
+            if (o.type != msgpack::type::ARRAY || o.via.array.size != 2)
+                throw msgpack::type_error();
+            o.via.array.ptr[0].convert(v.high);
+            o.via.array.ptr[1].convert(v.low);
+            return o;
+        }
+    };
+    template <>
+    struct pack<parsleyplank::hash128_value>
+    {
+        template <typename Stream>
+        packer<Stream>& operator()(packer<Stream>& o,
+                                   const parsleyplank::hash128_value& v) const
+        {
+            o.pack_array(2);
+            o.pack(v.high);
+            o.pack(v.low);
+            return o;
+        }
+    };
+
+    } // namespace adaptor
+}
+} // namespace msgpack
+
+#endif
--- /dev/null
+++ b/test/correctness/core_codec.cpp
@@ -0,0 +1,60 @@
+// Guards the coding of ids and the rejection of damaged bytes: a peer or the
+// store may send anything.
+
+#include <parsleyplank/core/codec.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace parsleyplank;
+
+namespace
+{
+
+struct sample
+{
+    instance_id from;
+    epoch number;
+    tokens spare;
+    hash128_value key;
+
+    MSGPACK_DEFINE_ARRAY(from, number, spare, key)
+};
+
+class core_codec : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(core_codec);
+    CPPUNIT_TEST(struct_survives_round_trip);
+    CPPUNIT_TEST(damaged_bytes_are_rejected_with_their_source);
+    CPPUNIT_TEST_SUITE_END();
+
+    const sample original{
+        instance_id("entry-1"), epoch(7), tokens(2.5), {1, 2}};
+
+public:
+    void struct_survives_round_trip()
+    {
+        const auto copy =
+            unpack_value<sample>(pack_value(original), "test message");
+        CPPUNIT_ASSERT(copy.from == original.from);
+        CPPUNIT_ASSERT(copy.number == original.number);
+        CPPUNIT_ASSERT(copy.spare == original.spare);
+        CPPUNIT_ASSERT(copy.key == original.key);
+    }
+
+    void damaged_bytes_are_rejected_with_their_source()
+    {
+        const auto bytes = pack_value(original);
+        for (std::size_t n = 0; n < bytes.size(); ++n)
+            CPPUNIT_ASSERT_THROW(
+                unpack_value<sample>(bytes.substr(0, n), "peer entry-2"),
+                codec_error);
+        CPPUNIT_ASSERT_THROW(unpack_value<sample>(bytes + "x", "peer entry-2"),
+                             codec_error);
+        CPPUNIT_ASSERT_THROW(unpack_value<sample>(pack_value(3), "peer"),
+                             codec_error);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(core_codec);
+
+} // namespace
