--- /dev/null
+++ b/src/freshness/freshness.cpp
@@ -0,0 +1,186 @@
+#include <parsleyplank/freshness/freshness.hpp>
+
+#include <algorithm>
+
+namespace parsleyplank::freshness
+{
+
+namespace
+{
+
+// One failed round may be a lost packet; two in a row count as unreachable.
+constexpr int failed_rounds_unreachable = 2;
+
+void raise(epoch& held, epoch offered)
+{
+    held = std::max(held, offered);
+}
+
+void raise(known_epochs& held, const known_epochs& offered)
+{
+    raise(held.config, offered.config);
+    raise(held.shares, offered.shares);
+}
+
+bool within(time_point since, time_point now, milliseconds bound)
+{
+    return now - since <= bound;
+}
+
+void keep_latest(std::optional<confirmation>& kept, const confirmation& c)
+{
+    if (!kept || kept->as_of < c.as_of)
+        kept = c;
+}
+
+void note_confirmation(state& s, const confirmation& c)
+{
+    raise(s.heard, c.newest);
+    keep_latest(covers(s.held, c.newest) ? s.effective : s.pending, c);
+}
+
+bool attests(const state& s, const instance_id& id, time_point now)
+{
+    const auto it = s.witnesses.find(id);
+    return it != s.witnesses.end() && !it->second.store_reachable &&
+           within(it->second.pinged_at, now, s.bounds.bound);
+}
+
+bool outage_attested(const state& s, time_point now)
+{
+    const bool list_known =
+        s.listed_at && within(*s.listed_at, now, s.bounds.list_bound);
+    // A newer epoch that any peer holds may withdraw a key.
+    return list_known && covers(s.held, s.heard) && !store_reachable(s) &&
+           std::ranges::all_of(s.store_region, [&](const instance_id& id)
+                               { return attests(s, id, now); });
+}
+
+} // namespace
+
+bool covers(const known_epochs& a, const known_epochs& b)
+{
+    return a.config >= b.config && a.shares >= b.shares;
+}
+
+std::string_view to_string(verdict v)
+{
+    switch (v)
+    {
+    case verdict::confirmed:
+        return "confirmed";
+    case verdict::outage_attested:
+        return "outage_attested";
+    case verdict::stale:
+        return "stale";
+    }
+    return "stale";
+}
+
+void note_held(state& s, const known_epochs& held)
+{
+    raise(s.held, held);
+    raise(s.heard, s.held);
+    if (s.pending && covers(s.held, s.pending->newest))
+    {
+        keep_latest(s.effective, *s.pending);
+        s.pending.reset();
+    }
+}
+
+bool round_due(const state& s, time_point now, bool designated)
+{
+    if (s.round_in_flight)
+        return false;
+    if (s.round_started_at &&
+        now - *s.round_started_at < s.bounds.round_interval)
+        return false;
+    const auto age = confirmation_age(s, now);
+    return designated || !age || *age > s.bounds.bound / 2;
+}
+
+void start_round(state& s, time_point now)
+{
+    s.round_in_flight = true;
+    s.round_started_at = now;
+}
+
+void finish_round(state& s, round_end end, const known_epochs& newest)
+{
+    s.round_in_flight = false;
+    s.failed_rounds = end == round_end::no_answer ? s.failed_rounds + 1 : 0;
+    if (end == round_end::confirmed)
+        note_confirmation(s, {*s.round_started_at, newest});
+}
+
+void note_pong(state& s, const instance_id& peer, time_point pinged_at,
+               const peer_report& report)
+{
+    raise(s.heard, report.held);
+    auto& w = s.witnesses[peer];
+    if (w.pinged_at <= pinged_at)
+        w = {pinged_at, report.store_reachable};
+    if (report.age)
+        note_confirmation(s, {pinged_at - *report.age, report.held});
+}
+
+void note_list(state& s, time_point asked_at,
+               std::vector<instance_id> store_region, bool in_store_region)
+{
+    s.listed_at = asked_at;
+    s.store_region = std::move(store_region);
+    s.in_store_region = in_store_region;
+    std::erase_if(s.witnesses,
+                  [&](const auto& it)
+                  {
+                      return std::ranges::find(s.store_region, it.first) ==
+                             s.store_region.end();
+                  });
+}
+
+bool store_reachable(const state& s)
+{
+    return s.failed_rounds < failed_rounds_unreachable;
+}
+
+std::optional<milliseconds> confirmation_age(const state& s, time_point now)
+{
+    if (!s.effective)
+        return std::nullopt;
+    // Rounded up: an age may only grow on its way through the fleet.
+    return std::chrono::ceil<milliseconds>(now - s.effective->as_of);
+}
+
+verdict judge(const state& s, time_point now)
+{
+    if (s.effective && within(s.effective->as_of, now, s.bounds.bound))
+        return verdict::confirmed;
+    return outage_attested(s, now) ? verdict::outage_attested : verdict::stale;
+}
+
+peer_report make_report(const state& s, time_point now)
+{
+    return {s.held, confirmation_age(s, now), store_reachable(s)};
+}
+
+std::string explain_stale(const state& s, time_point now)
+{
+    if (judge(s, now) != verdict::stale)
+        return {};
+    if (!covers(s.held, s.heard))
+        return "a newer epoch than the one held is known";
+    if (store_reachable(s))
+        return "no confirmation within the bound, store not known to be down";
+    if (!s.listed_at || !within(*s.listed_at, now, s.bounds.list_bound))
+        return "instance list is missing or too old";
+    std::string text = "outage not attested by:";
+    std::ranges::for_each(s.store_region,
+                          [&](const instance_id& id)
+                          {
+                              if (!attests(s, id, now))
+                                  text += " " + id.value;
+                          });
+    return text;
+}
+
+} // namespace parsleyplank::freshness
