--- /dev/null
+++ b/src/config/adoption.hpp
@@ -0,0 +1,57 @@
+#ifndef PARSLEYPLANK_CONFIG_ADOPTION_HPP
+#define PARSLEYPLANK_CONFIG_ADOPTION_HPP
+
+// Which configuration an instance holds, and whether it adopts one that arrives
+// from the store or from a peer. The epoch held never goes back, whatever
+// arrives: stale store responses, late peers, damaged parts.
+
+#include <parsleyplank/config/bundle.hpp>
+
+#include <memory>
+#include <optional>
+
+namespace parsleyplank::config
+{
+
+enum class offer_verdict
+{
+    wanted,     // newer than what is held: parts are being collected
+    known,      // already held or being collected
+    older,      // ignored: an epoch below the one held or being collected
+    conflicting // ignored: same epoch, other change; the store lost data
+};
+
+struct adoption
+{
+    // Null until the first adoption.
+    std::shared_ptr<const bundle> held;
+    manifest held_manifest;
+    // Newer than held_manifest; its parts are not complete yet.
+    std::optional<manifest> wanted;
+    // Parts of both manifests, to serve peers and to save transfers.
+    part_map parts;
+};
+
+// Returns the epoch held; 0 if none.
+epoch held_epoch(const adoption& state);
+
+// Takes note of a manifest that arrived.
+offer_verdict offer_manifest(adoption& state, const manifest& arrived);
+
+// Returns the digests to ask for next; empty if nothing is wanted or nothing is
+// missing.
+std::vector<part_digest> missing_parts(const adoption& state);
+
+// Takes a part that arrived; ignores one that is not missing. Throws
+// codec_error if the bytes do not have the digest.
+void offer_part(adoption& state, const part_digest& digest, std::string bytes);
+
+// Adopts the wanted manifest if all its parts are held, and drops parts that it
+// does not need. Returns whether the held bundle changed. Throws codec_error if
+// the parts do not decode; then the state keeps what it held and forgets the
+// wanted manifest.
+bool try_adopt(adoption& state);
+
+} // namespace parsleyplank::config
+
+#endif
--- /dev/null
+++ b/src/config/bundle.hpp
@@ -0,0 +1,113 @@
+#ifndef PARSLEYPLANK_CONFIG_BUNDLE_HPP
+#define PARSLEYPLANK_CONFIG_BUNDLE_HPP
+
+// The stored form of a configuration: a manifest and content-addressed parts.
+//
+// Each section (regions, keys, client blocks, ...) is a tree. Its items are
+// sorted by their key and cut into leaves; the digests of the leaves are cut
+// into pages in the same way, until one page is left. Cuts depend on the hash
+// of an item's key only, so changing one item of 570,000 rewrites one leaf and
+// the few pages above it.
+
+#include <parsleyplank/config/model.hpp>
+#include <parsleyplank/core/codec.hpp>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace parsleyplank::config
+{
+
+// Largest part and largest manifest, in bytes; below the store's limit.
+inline constexpr std::size_t max_part_bytes = 999'999;
+
+// Form of manifest and parts that this code reads and writes.
+inline constexpr std::uint32_t bundle_format = 1;
+
+// SHA-256 of a part, 64 lower-case hexadecimal digits.
+using part_digest = std::string;
+
+// Parts by digest.
+using part_map = std::map<part_digest, std::string>;
+
+// Who made an accepted change. The change id is unique to one publication.
+struct change
+{
+    parsleyplank::epoch epoch;
+    std::string publisher;
+    std::string change_id;
+
+    bool operator==(const change&) const = default;
+
+    MSGPACK_DEFINE_ARRAY(epoch, publisher, change_id)
+};
+
+// The root part of one section.
+struct section_ref
+{
+    // E.g. "client_blocks".
+    std::string name;
+    part_digest root;
+
+    bool operator==(const section_ref&) const = default;
+};
+
+struct manifest
+{
+    // The change that made this manifest, then up to 15 earlier ones, newest
+    // first. A publisher whose answer was lost finds its change here even if
+    // others have published since.
+    std::vector<change> changes;
+    // In the order of section_names().
+    std::vector<section_ref> sections;
+
+    // Returns the epoch of the newest change; 0 if there is none.
+    parsleyplank::epoch epoch() const;
+
+    bool operator==(const manifest&) const = default;
+};
+
+struct encoded_bundle
+{
+    std::vector<section_ref> sections;
+    part_map parts;
+};
+
+// Returns the parts of a bundle. The same content gives the same parts in
+// whatever order its items are listed. Throws config_error if one item alone
+// exceeds the size of a part.
+encoded_bundle encode_bundle(const bundle& content);
+
+// Returns the bundle that the manifest describes, its items sorted by id.
+// Client blocks are left out, and their parts not needed, if with_client_blocks
+// is false. Throws codec_error that names the part if one is missing, damaged
+// or of another digest.
+bundle decode_bundle(const manifest& description, const part_map& parts,
+                     bool with_client_blocks = true);
+
+// Returns the digests of parts that are known to be needed and not held. Pages
+// name further parts, so the caller asks again once it holds these; an empty
+// answer means that all parts are held. Throws codec_error for a damaged page.
+std::vector<part_digest> missing_parts(const manifest& description,
+                                       const part_map& parts,
+                                       bool with_client_blocks = true);
+
+// Returns the digests of all parts of the manifest. Assumes that none is
+// missing; throws codec_error otherwise.
+std::vector<part_digest> all_parts(const manifest& description,
+                                   const part_map& parts);
+
+// Throws codec_error that names the digest if the bytes do not have it.
+void check_part(const part_digest& digest, std::string_view bytes);
+
+// Returns the bytes of a manifest, and back. encode throws config_error if the
+// manifest is too large, decode throws codec_error if the bytes are damaged or
+// of a newer format.
+std::string encode_manifest(const manifest& description);
+manifest decode_manifest(std::string_view bytes);
+
+} // namespace parsleyplank::config
+
+#endif
