--- /dev/null
+++ b/src/claims/message.hpp
@@ -0,0 +1,172 @@
+#ifndef PARSLEYPLANK_CLAIMS_MESSAGE_HPP
+#define PARSLEYPLANK_CLAIMS_MESSAGE_HPP
+
+// Messages between the instance that received an at-most-once request (the
+// owner of the attempt) and the writer of the bucket that holds its claim.
+// Every message may be lost, repeated, delayed or reordered.
+
+#include <parsleyplank/core/codec.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace parsleyplank::claims
+{
+
+// One attempt to run one request. Never reused: a restarted instance has a new
+// incarnation, and the number only grows within one.
+struct attempt_id
+{
+    instance_id instance;
+    incarnation life;
+    std::uint64_t number = 0;
+
+    auto operator<=>(const attempt_id&) const = default;
+
+    MSGPACK_DEFINE_ARRAY(instance, life, number)
+};
+
+// Durable state of a claim.
+enum class claim_state : std::uint8_t
+{
+    claimed,
+    completed,
+    not_run,
+    unknown
+};
+
+// State of an attempt on its owner.
+enum class attempt_phase : std::uint8_t
+{
+    claiming,
+    granted,
+    dispatched,
+    completed,
+    outcome_unknown,
+    not_run,       // granted, but surely not run
+    abandoned,     // never granted in time; will not be dispatched
+    unknown_to_me, // the owner has no record of this attempt
+};
+
+// What the writer answers to a claim_request or claim_finish.
+enum class claim_outcome : std::uint8_t
+{
+    granted,    // the claim is in the store for this attempt
+    replay,     // another attempt completed; its response is attached
+    in_flight,  // another attempt is running
+    unknown,    // another attempt may have run
+    key_reused, // the key is claimed for another body
+    released,   // this attempt was released earlier
+    refused,    // not taken: queue full or bucket not readable
+    recorded,   // the claim_finish needs no repeat
+};
+
+// The response of the backend server as far as it is kept.
+struct kept_response
+{
+    std::uint16_t status = 0;
+    // The response was too large: body holds its SHA-256 in hexadecimal.
+    bool digest_only = false;
+    std::string body;
+
+    bool operator==(const kept_response&) const = default;
+
+    MSGPACK_DEFINE_ARRAY(status, digest_only, body)
+};
+
+struct claim_request
+{
+    attempt_id attempt;
+    std::uint32_t bucket = 0;
+    hash128_value key;
+    std::uint64_t body_hash = 0;
+
+    MSGPACK_DEFINE_ARRAY(attempt, bucket, key, body_hash)
+};
+
+struct claim_reply
+{
+    attempt_id attempt;
+    claim_outcome outcome = claim_outcome::refused;
+    kept_response response;
+
+    MSGPACK_DEFINE_ARRAY(attempt, outcome, response)
+};
+
+// Final state of an attempt; claim_state::not_run releases the key.
+struct claim_finish
+{
+    attempt_id attempt;
+    std::uint32_t bucket = 0;
+    hash128_value key;
+    claim_state state = claim_state::unknown;
+    kept_response response;
+
+    MSGPACK_DEFINE_ARRAY(attempt, bucket, key, state, response)
+};
+
+// Asked by a writer that holds the claim of this attempt and has a duplicate.
+struct attempt_query
+{
+    attempt_id attempt;
+    std::uint32_t bucket = 0;
+    hash128_value key;
+
+    MSGPACK_DEFINE_ARRAY(attempt, bucket, key)
+};
+
+struct attempt_state
+{
+    attempt_id attempt;
+    std::uint32_t bucket = 0;
+    hash128_value key;
+    attempt_phase phase = attempt_phase::unknown_to_me;
+    kept_response response;
+
+    MSGPACK_DEFINE_ARRAY(attempt, bucket, key, phase, response)
+};
+
+// All messages of one moment for one instance, sent as one peer message.
+struct claim_batch
+{
+    std::vector<claim_request> requests;
+    std::vector<claim_reply> replies;
+    std::vector<claim_finish> finishes;
+    std::vector<attempt_query> queries;
+    std::vector<attempt_state> states;
+
+    MSGPACK_DEFINE_ARRAY(requests, replies, finishes, queries, states)
+};
+
+// Messages to send, by destination.
+using outbox = std::map<instance_id, claim_batch>;
+
+// Returns the key hash of an idempotency key. The same key of another customer
+// or route has another hash.
+hash128_value key_hash(const customer_id& customer, const route_id& route,
+                       std::string_view key);
+
+// Returns the bucket of a key hash. Throws error if there are no buckets. The
+// number of buckets must not change while claims are kept, since a key that
+// moves to another bucket would be claimed a second time.
+std::uint32_t bucket_of(const hash128_value& key, std::uint32_t buckets);
+std::uint32_t bucket_of(const customer_id& customer, const route_id& route,
+                        std::string_view key, std::uint32_t buckets);
+
+// Returns the instance that should write the bucket, or nullptr if none is
+// live. Instances may disagree for a while; that costs speed, not safety.
+const instance_id* writer_of(std::uint32_t bucket,
+                             std::span<const instance_id> live);
+
+} // namespace parsleyplank::claims
+
+MSGPACK_ADD_ENUM(parsleyplank::claims::claim_state)
+MSGPACK_ADD_ENUM(parsleyplank::claims::attempt_phase)
+MSGPACK_ADD_ENUM(parsleyplank::claims::claim_outcome)
+
+#endif
