--- /dev/null
+++ b/src/entry/metrics.cpp
@@ -0,0 +1,105 @@
+#include <parsleyplank/entry/metrics.hpp>
+
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+
+namespace parsleyplank::entry
+{
+
+namespace
+{
+
+const prometheus::Histogram::BucketBoundaries duration_buckets_s{
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
+
+prometheus::Family<prometheus::Counter>&
+make_counters(prometheus::Registry& registry, const std::string& name,
+              const std::string& help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+} // namespace
+
+metrics::metrics()
+    : refusals(make_counters(registry, "parsleyplank_refusals_total",
+                             "Requests refused, by reason.")),
+      retries(make_counters(registry, "parsleyplank_retries_total",
+                            "Attempts repeated, by reason.")),
+      requests(make_counters(registry, "parsleyplank_requests_total",
+                             "Requests ended, by route and outcome.")),
+      customer_refusals(
+          make_counters(registry, "parsleyplank_customer_refusals_total",
+                        "Requests refused, by customer and reason.")),
+      durations(prometheus::BuildHistogram()
+                    .Name("parsleyplank_request_duration_seconds")
+                    .Help("Time from arrival to response.")
+                    .Register(registry)),
+      lookups(make_counters(registry, "parsleyplank_lookups_total",
+                            "Look-ups answered.")
+                  .Add({}))
+{
+    // Every reason is shown from the start, so that a rate over it is defined.
+    std::ranges::for_each(all_refusal_reasons, [this](refusal_reason reason)
+                          { refusals.Add({{"reason",
+                                           std::string(to_string(reason))}}); });
+    std::ranges::for_each(all_retry_reasons, [this](retry_reason reason)
+                          { retries.Add({{"reason",
+                                          std::string(to_string(reason))}}); });
+}
+
+void metrics::count_refusal(refusal_reason reason)
+{
+    refusals.Add({{"reason", std::string(to_string(reason))}}).Increment();
+}
+
+void metrics::count_retry(retry_reason reason)
+{
+    retries.Add({{"reason", std::string(to_string(reason))}}).Increment();
+}
+
+void metrics::count_lookup()
+{
+    lookups.Increment();
+}
+
+void metrics::count_request(const route_id& route, run_outcome outcome,
+                            std::chrono::microseconds duration)
+{
+    requests
+        .Add({{"route", route.value},
+              {"outcome", std::string(to_string(outcome))}})
+        .Increment();
+    durations.Add({{"route", route.value}}, duration_buckets_s)
+        .Observe(std::chrono::duration<double>(duration).count());
+}
+
+void metrics::count_customer_refusal(const customer_id& customer,
+                                     refusal_reason reason)
+{
+    customer_refusals
+        .Add({{"customer", customer.value},
+              {"reason", std::string(to_string(reason))}})
+        .Increment();
+}
+
+void metrics::set(const std::string& name, const std::string& label,
+                  const std::string& label_value, double value)
+{
+    auto& family = prometheus::BuildGauge()
+                       .Name("parsleyplank_" + name)
+                       .Help("State of this instance.")
+                       .Register(registry);
+    const prometheus::Labels labels =
+        label.empty() ? prometheus::Labels{}
+                      : prometheus::Labels{{label, label_value}};
+    family.Add(labels).Set(value);
+}
+
+std::string metrics::to_text() const
+{
+    return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+} // namespace parsleyplank::entry
--- /dev/null
+++ b/src/entry/metrics.hpp
@@ -0,0 +1,59 @@
+#ifndef PARSLEYPLANK_ENTRY_METRICS_HPP
+#define PARSLEYPLANK_ENTRY_METRICS_HPP
+
+// Metrics of an entry process in the Prometheus text format. Labels never hold
+// an API key or an idempotency key.
+
+#include <parsleyplank/core/ids.hpp>
+#include <parsleyplank/core/reason.hpp>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <chrono>
+#include <map>
+#include <string>
+
+namespace parsleyplank::entry
+{
+
+// Any thread may call.
+class metrics
+{
+public:
+    metrics();
+
+    void count_refusal(refusal_reason reason);
+    void count_retry(retry_reason reason);
+    void count_lookup();
+
+    // Counts a finished request of a route by outcome, with its duration.
+    void count_request(const route_id& route, run_outcome outcome,
+                       std::chrono::microseconds duration);
+
+    // Counts a request refused to a customer, for the view per customer.
+    void count_customer_refusal(const customer_id& customer,
+                                refusal_reason reason);
+
+    // Sets a gauge "parsleyplank_NAME" with one label; the label may be empty.
+    void set(const std::string& name, const std::string& label,
+             const std::string& label_value, double value);
+
+    // Returns all metrics as text.
+    std::string to_text() const;
+
+private:
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& refusals;
+    prometheus::Family<prometheus::Counter>& retries;
+    prometheus::Family<prometheus::Counter>& requests;
+    prometheus::Family<prometheus::Counter>& customer_refusals;
+    prometheus::Family<prometheus::Histogram>& durations;
+    prometheus::Counter& lookups;
+};
+
+} // namespace parsleyplank::entry
+
+#endif
--- /dev/null
+++ b/src/entry/snapshot.cpp
@@ -0,0 +1,81 @@
+#include <parsleyplank/entry/snapshot.hpp>
+
+#include <algorithm>
+
+namespace parsleyplank::entry
+{
+
+namespace
+{
+
+bool matches(const config::route& r, std::string_view method,
+             std::string_view path)
+{
+    if (!path.starts_with(r.path_prefix))
+        return false;
+    const bool whole_segment = path.size() == r.path_prefix.size() ||
+                               r.path_prefix.ends_with('/') ||
+                               path[r.path_prefix.size()] == '/';
+    return whole_segment &&
+           std::ranges::find(r.methods, method) != r.methods.end();
+}
+
+template <typename Items, typename Id>
+auto* find_by_id(const Items& items, const Id& id)
+{
+    const auto it =
+        std::ranges::find_if(items, [&](const auto& i) { return i.id == id; });
+    return it == items.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+std::shared_ptr<const config_tables>
+build_tables(std::shared_ptr<const config::bundle> content,
+             std::shared_ptr<const lookup::block_table> same_blocks)
+{
+    auto tables = std::make_shared<config_tables>();
+    tables->content = std::move(content);
+    tables->keys = keys::keyring(*tables->content);
+    tables->blocks = std::move(same_blocks);
+    if (!tables->blocks)
+        tables->blocks = std::make_shared<const lookup::block_table>(
+            lookup::make_block_table(*tables->content));
+    return tables;
+}
+
+const config::route* find_route(const config::bundle& content,
+                                std::string_view method, std::string_view path)
+{
+    const config::route* best = nullptr;
+    std::ranges::for_each(content.routes,
+                          [&](const config::route& r)
+                          {
+                              if (matches(r, method, path) &&
+                                  (best == nullptr ||
+                                   r.path_prefix.size() >
+                                       best->path_prefix.size()))
+                                  best = &r;
+                          });
+    return best;
+}
+
+const config::customer* find_customer(const config::bundle& content,
+                                      const customer_id& id)
+{
+    return find_by_id(content.customers, id);
+}
+
+const config::upstream* find_upstream(const config::bundle& content,
+                                      const upstream_id& id)
+{
+    return find_by_id(content.upstreams, id);
+}
+
+const config::region* find_region(const config::bundle& content,
+                                  const region_id& id)
+{
+    return find_by_id(content.regions, id);
+}
+
+} // namespace parsleyplank::entry
