Let an outage attestation end with its oldest evidence

fresh_until gives the end, so that shares need not trust a flag set before a pause. An empty store region is accepted only from a list within the freshness bound: a longer one would let an instance that missed the region's return serve withdrawn keys for 30 s.

--- a/src/freshness/freshness.cpp
+++ b/src/freshness/freshness.cpp
@@ -46,14 +46,35 @@
            within(it->second.pinged_at, now, s.bounds.bound);
 }
 
-bool outage_attested(const state& s, time_point now)
+// A list that shows no instance in the store's region is the only evidence that
+// the region is dead, so it may not be older than any other evidence.
+milliseconds list_limit(const state& s)
+{
+    const bool region_dead = s.store_region.empty() && !s.in_store_region;
+    return region_dead ? std::min(s.bounds.bound, s.bounds.list_bound)
+                       : s.bounds.list_bound;
+}
+
+// Returns until when an outage is attested. The instance's own failed round is
+// evidence like that of the others and ages in the same way.
+std::optional<time_point> attested_until(const state& s, time_point now)
 {
-    const bool list_known =
-        s.listed_at && within(*s.listed_at, now, s.bounds.list_bound);
     // A newer epoch that any peer holds may withdraw a key.
-    return list_known && covers(s.held, s.heard) && !store_reachable(s) &&
-           std::ranges::all_of(s.store_region, [&](const instance_id& id)
-                               { return attests(s, id, now); });
+    if (!s.listed_at || !s.round_started_at || store_reachable(s) ||
+        !covers(s.held, s.heard))
+        return std::nullopt;
+    if (!std::ranges::all_of(s.store_region, [&](const instance_id& id)
+                             { return attests(s, id, now); }))
+        return std::nullopt;
+    auto until = std::min(*s.listed_at + list_limit(s),
+                          *s.round_started_at + s.bounds.bound);
+    std::ranges::for_each(s.store_region,
+                          [&](const instance_id& id) {
+                              until =
+                                  std::min(until, s.witnesses.at(id).pinged_at +
+                                                      s.bounds.bound);
+                          });
+    return until;
 }
 
 } // namespace
@@ -155,7 +176,22 @@
 {
     if (s.effective && within(s.effective->as_of, now, s.bounds.bound))
         return verdict::confirmed;
-    return outage_attested(s, now) ? verdict::outage_attested : verdict::stale;
+    const auto until = attested_until(s, now);
+    return until && now <= *until ? verdict::outage_attested : verdict::stale;
+}
+
+std::optional<time_point> fresh_until(const state& s, time_point now)
+{
+    switch (judge(s, now))
+    {
+    case verdict::confirmed:
+        return s.effective->as_of + s.bounds.bound;
+    case verdict::outage_attested:
+        return attested_until(s, now);
+    case verdict::stale:
+        break;
+    }
+    return std::nullopt;
 }
 
 peer_report make_report(const state& s, time_point now)
@@ -171,8 +207,10 @@
         return "a newer epoch than the one held is known";
     if (store_reachable(s))
         return "no confirmation within the bound, store not known to be down";
-    if (!s.listed_at || !within(*s.listed_at, now, s.bounds.list_bound))
+    if (!s.listed_at || !within(*s.listed_at, now, list_limit(s)))
         return "instance list is missing or too old";
+    if (!within(*s.round_started_at, now, s.bounds.bound))
+        return "no recent attempt to reach the store";
     std::string text = "outage not attested by:";
     std::ranges::for_each(s.store_region,
                           [&](const instance_id& id)
--- a/src/freshness/freshness.hpp
+++ b/src/freshness/freshness.hpp
@@ -36,7 +36,9 @@
 {
     // Largest age of a confirmation.
     milliseconds bound{3'000};
-    // Largest age of the instance list that an attestation may rest on.
+    // Largest age of the instance list that an attestation may rest on. A list
+    // without an instance in the store's region has to be within the bound
+    // above, because nothing else attests then.
     milliseconds list_bound{30'000};
     // Shortest time between the starts of two confirmation rounds.
     milliseconds round_interval{1'000};
@@ -141,6 +143,10 @@
 // Decides whether the held state may be acted on at this time.
 verdict judge(const state& s, time_point now);
 
+// Returns until when the held state may be acted on by what is known now; none
+// if it is stale.
+std::optional<time_point> fresh_until(const state& s, time_point now);
+
 // Returns the report to put into a pong sent now.
 peer_report make_report(const state& s, time_point now);
 
--- a/test/failure/freshness_faults.cpp
+++ b/test/failure/freshness_faults.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(stale_reads_do_not_count_as_outage);
     CPPUNIT_TEST(dead_store_region_leaves_list_and_attests);
     CPPUNIT_TEST(empty_region_in_old_list_does_not_attest);
+    CPPUNIT_TEST(attestation_ends_with_its_oldest_evidence);
     CPPUNIT_TEST(newer_epoch_at_a_peer_blocks_attestation);
     CPPUNIT_TEST(newer_epoch_is_not_confirmed_until_adopted);
     CPPUNIT_TEST(late_pong_does_not_replace_newer_report);
@@ -212,11 +213,26 @@
     {
         start_confirmed();
         note_list(s, time.now(), {}, false);
-        time.advance(s.bounds.list_bound + 1ms);
+        time.advance(s.bounds.bound + 1ms);
         fail_rounds(3);
         CPPUNIT_ASSERT(judge(s, time.now()) == verdict::stale);
     }
 
+    void attestation_ends_with_its_oldest_evidence()
+    {
+        start_confirmed();
+        time.advance(4s);
+        fail_rounds(2);
+        pong(store_side_a, false);
+        const auto oldest = time.now();
+        time.advance(1s);
+        fail_rounds(1);
+        pong(store_side_b, false);
+        CPPUNIT_ASSERT(fresh_until(s, time.now()) == oldest + s.bounds.bound);
+        time.advance(s.bounds.bound);
+        CPPUNIT_ASSERT(!fresh_until(s, time.now()));
+    }
+
     void newer_epoch_at_a_peer_blocks_attestation()
     {
         start_confirmed();
