--- /dev/null
+++ b/apps/parsleyplank-entry/main.cpp
@@ -0,0 +1,83 @@
+// parsleyplank-entry: an entry instance. Exits 0 after a graceful shutdown
+// (SIGTERM, SIGINT or POST /drain), 2 if its arguments or settings are wrong,
+// 1 after any other failure.
+
+#include <parsleyplank/core/error.hpp>
+#include <parsleyplank/core/log.hpp>
+#include <parsleyplank/entry/node.hpp>
+
+#include <pthread.h>
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <thread>
+
+using namespace parsleyplank;
+
+namespace
+{
+
+// Blocks the stop signals in all threads, so that one thread can wait for them.
+sigset_t block_stop_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+void run_node(const entry::settings& settings)
+{
+    const auto signals = block_stop_signals();
+    entry::node node(settings);
+    std::thread waiter(
+        [&]
+        {
+            int signal = 0;
+            sigwait(&signals, &signal);
+            node.begin_drain();
+        });
+    node.run();
+    // Ends the waiter after a drain that the admin port has begun.
+    pthread_kill(waiter.native_handle(), SIGTERM);
+    waiter.join();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        TCLAP::CmdLine cmd(
+            "Entry instance of the parsleyplank traffic steering "
+            "system",
+            ' ', "0.1");
+        TCLAP::UnlabeledValueArg<std::string> file(
+            "settings", "TOML file with the settings of this instance", true,
+            "", "FILE", cmd);
+        TCLAP::SwitchArg check("", "check",
+                               "only check the settings file, then exit", cmd);
+        cmd.parse(argc, argv);
+        const auto settings = entry::read_settings(file.getValue());
+        if (check.getValue())
+            return 0;
+        start_logging(settings.log_level);
+        run_node(settings);
+        return 0;
+    }
+    catch (const config_error& ec)
+    {
+        std::cerr << "parsleyplank-entry: " << ec.what() << '\n';
+        return 2;
+    }
+    catch (const std::exception& ec)
+    {
+        std::cerr << "parsleyplank-entry: " << ec.what() << '\n';
+        return 1;
+    }
+}
--- a/src/entry/confirmation.cpp
+++ b/src/entry/confirmation.cpp
@@ -1,6 +1,5 @@
-#include <parsleyplank/entry/confirmation.hpp>
-
 #include <parsleyplank/core/log.hpp>
+#include <parsleyplank/entry/confirmation.hpp>
 
 #include <utility>
 
@@ -88,9 +87,8 @@
     auto job = [&, key = own_key(context.config), own = rounds.own_revision,
                 life = context.config.life](store::kv_store& store)
     {
-        context.loop.post(
-            [&, result = call_store(store, key, own, life)]
-            { finish(result, rounds, contact, feed, context); });
+        context.loop.post([&, result = call_store(store, key, own, life)]
+                          { finish(result, rounds, contact, feed, context); });
     };
     // The start is taken before the job is queued: time spent in the queue
     // counts towards the age of the confirmation.
--- a/src/entry/event_loop.cpp
+++ b/src/entry/event_loop.cpp
@@ -1,6 +1,5 @@
-#include <parsleyplank/entry/event_loop.hpp>
-
 #include <parsleyplank/core/log.hpp>
+#include <parsleyplank/entry/event_loop.hpp>
 
 #include <algorithm>
 #include <utility>
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -41,12 +41,16 @@
                   .Add({}))
 {
     // Every reason is shown from the start, so that a rate over it is defined.
-    std::ranges::for_each(all_refusal_reasons, [this](refusal_reason reason)
-                          { refusals.Add({{"reason",
-                                           std::string(to_string(reason))}}); });
-    std::ranges::for_each(all_retry_reasons, [this](retry_reason reason)
-                          { retries.Add({{"reason",
-                                          std::string(to_string(reason))}}); });
+    std::ranges::for_each(
+        all_refusal_reasons,
+        [this](refusal_reason reason) {
+            refusals.Add({{"reason", std::string(to_string(reason))}});
+        });
+    std::ranges::for_each(
+        all_retry_reasons,
+        [this](retry_reason reason) {
+            retries.Add({{"reason", std::string(to_string(reason))}});
+        });
 }
 
 void metrics::count_refusal(refusal_reason reason)
--- a/src/entry/peer_contact.cpp
+++ b/src/entry/peer_contact.cpp
@@ -1,7 +1,6 @@
-#include <parsleyplank/entry/peer_contact.hpp>
-
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/core/rendezvous.hpp>
+#include <parsleyplank/entry/peer_contact.hpp>
 
 #include <algorithm>
 
@@ -100,10 +99,10 @@
 {
     const auto changes =
         membership::update_from_list(contact.members, list, asked_at);
-    std::ranges::for_each(changes.added, [&](const auto& info)
-                          { dial(context, info); });
-    std::ranges::for_each(changes.replaced, [&](const auto& info)
-                          { dial(context, info); });
+    std::ranges::for_each(changes.added,
+                          [&](const auto& info) { dial(context, info); });
+    std::ranges::for_each(changes.replaced,
+                          [&](const auto& info) { dial(context, info); });
     std::ranges::for_each(changes.removed, [&](const instance_id& id)
                           { context.peers.remove_peer(id); });
     freshness::note_list(
@@ -117,8 +116,8 @@
     auto ids = membership::usable_in_region(
         contact.members, context.config.region, context.loop.now());
     ids.push_back(context.config.id);
-    const auto order = rendezvous_order(
-        "confirm/" + context.config.region.value, ids);
+    const auto order =
+        rendezvous_order("confirm/" + context.config.region.value, ids);
     const auto it = std::ranges::find(order, context.config.id);
     return it - order.begin() < designated_per_region;
 }
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -1,8 +1,5 @@
-#include <parsleyplank/entry/settings.hpp>
-
 #include <parsleyplank/core/error.hpp>
-
-#include <toml++/toml.h>
+#include <parsleyplank/entry/settings.hpp>
 
 #include <arpa/inet.h>
 
@@ -12,6 +9,7 @@
 #include <limits>
 #include <set>
 #include <sstream>
+#include <toml++/toml.h>
 #include <vector>
 
 namespace parsleyplank::entry
@@ -53,9 +51,9 @@
         if (node == nullptr)
             return;
         const auto found = node->value_exact<std::int64_t>();
-        constexpr auto most = static_cast<std::int64_t>(std::min<std::uint64_t>(
-            std::numeric_limits<Number>::max(),
-            std::numeric_limits<std::int64_t>::max()));
+        constexpr auto most = static_cast<std::int64_t>(
+            std::min<std::uint64_t>(std::numeric_limits<Number>::max(),
+                                    std::numeric_limits<std::int64_t>::max()));
         if (found && *found >= least && *found <= most)
             value = static_cast<Number>(*found);
         else
@@ -181,9 +179,8 @@
     }
     catch (const toml::parse_error& ec)
     {
-        throw config_error(name + ":" +
-                           std::to_string(ec.source().begin.line) + ": " +
-                           std::string(ec.description()));
+        throw config_error(name + ":" + std::to_string(ec.source().begin.line) +
+                           ": " + std::string(ec.description()));
     }
     settings s;
     std::vector<std::string> problems;
--- a/src/entry/snapshot.cpp
+++ b/src/entry/snapshot.cpp
@@ -48,15 +48,15 @@
                                 std::string_view method, std::string_view path)
 {
     const config::route* best = nullptr;
-    std::ranges::for_each(content.routes,
-                          [&](const config::route& r)
-                          {
-                              if (matches(r, method, path) &&
-                                  (best == nullptr ||
-                                   r.path_prefix.size() >
-                                       best->path_prefix.size()))
-                                  best = &r;
-                          });
+    std::ranges::for_each(
+        content.routes,
+        [&](const config::route& r)
+        {
+            if (matches(r, method, path) &&
+                (best == nullptr ||
+                 r.path_prefix.size() > best->path_prefix.size()))
+                best = &r;
+        });
     return best;
 }
 
--- a/src/entry/snapshot.hpp
+++ b/src/entry/snapshot.hpp
@@ -41,8 +41,7 @@
 // Returns the route whose path prefix is the longest that matches whole path
 // segments and whose methods contain the method, or nullptr.
 const config::route* find_route(const config::bundle& content,
-                                std::string_view method,
-                                std::string_view path);
+                                std::string_view method, std::string_view path);
 
 // Return the named item, or nullptr.
 const config::customer* find_customer(const config::bundle& content,
--- a/src/entry/state_feed.cpp
+++ b/src/entry/state_feed.cpp
@@ -1,6 +1,5 @@
-#include <parsleyplank/entry/state_feed.hpp>
-
 #include <parsleyplank/core/log.hpp>
+#include <parsleyplank/entry/state_feed.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -43,8 +42,8 @@
         return;
     const bool reuse =
         feed.tables && same_client_blocks(before, feed.config.held_manifest);
-    feed.tables = build_tables(feed.config.held,
-                               reuse ? feed.tables->blocks : nullptr);
+    feed.tables =
+        build_tables(feed.config.held, reuse ? feed.tables->blocks : nullptr);
     LOG4CPLUS_INFO(feed_log(), "Configuration epoch "
                                    << held_epoch(feed.config).value
                                    << " is in force.");
@@ -82,9 +81,9 @@
 void take_parts(state_feed& feed,
                 const std::map<config::part_digest, std::string>& parts)
 {
-    std::ranges::for_each(parts, [&](const auto& it)
-                          { config::offer_part(feed.config, it.first,
-                                               it.second); });
+    std::ranges::for_each(
+        parts, [&](const auto& it)
+        { config::offer_part(feed.config, it.first, it.second); });
     adopt_if_complete(feed);
 }
 
@@ -100,7 +99,8 @@
         std::ranges::for_each(digests,
                               [&](const config::part_digest& digest)
                               {
-                                  auto read = store.get("config/part/" + digest);
+                                  auto read =
+                                      store.get("config/part/" + digest);
                                   if (read.found)
                                       parts[digest] =
                                           std::move(read.found->value);
@@ -161,11 +161,11 @@
             catch (const error& ec)
             {
                 usable = false;
-                LOG4CPLUS_ERROR(feed_log(), "Value of " << e.key << " at store "
-                                                        << "revision "
-                                                        << e.key_revision.value
-                                                        << " is not usable: "
-                                                        << ec.what());
+                LOG4CPLUS_ERROR(feed_log(),
+                                "Value of " << e.key << " at store "
+                                            << "revision "
+                                            << e.key_revision.value
+                                            << " is not usable: " << ec.what());
             }
         });
     fetch_missing(feed, context);
--- a/src/entry/store_pool.cpp
+++ b/src/entry/store_pool.cpp
@@ -1,6 +1,5 @@
-#include <parsleyplank/entry/store_pool.hpp>
-
 #include <parsleyplank/core/log.hpp>
+#include <parsleyplank/entry/store_pool.hpp>
 
 #include <algorithm>
 #include <utility>
