--- a/cmake/parsleyplank.cmake
+++ b/cmake/parsleyplank.cmake
@@ -34,5 +34,6 @@
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/test)
   target_compile_definitions(
     ${name} PRIVATE PARSLEYPLANK_GOLDEN_DIR="${CMAKE_SOURCE_DIR}/test/golden")
-  target_link_libraries(${name} PRIVATE ${libraries} PkgConfig::CPPUNIT)
+  target_link_libraries(${name} PRIVATE parsleyplank_test_support ${libraries}
+                                        PkgConfig::CPPUNIT)
 endfunction()
--- /dev/null
+++ b/src/store/http_call.cpp
@@ -0,0 +1,180 @@
+#include <parsleyplank/store/http_call.hpp>
+
+#include <curl/curl.h>
+
+#include <array>
+#include <utility>
+
+namespace parsleyplank::store
+{
+
+namespace
+{
+
+struct received_body
+{
+    std::string bytes;
+    std::size_t limit = 0;
+};
+
+// Returns fewer bytes than given, which ends the transfer, above the limit.
+std::size_t append_body(const char* data, std::size_t size, std::size_t n,
+                        void* target)
+{
+    auto& body = *static_cast<received_body*>(target);
+    if (body.bytes.size() + size * n > body.limit)
+        return 0;
+    body.bytes.append(data, size * n);
+    return size * n;
+}
+
+void start_libcurl()
+{
+    static const CURLcode code = curl_global_init(CURL_GLOBAL_DEFAULT);
+    if (code != CURLE_OK)
+        throw error(std::string("libcurl can't be set up: ") +
+                    curl_easy_strerror(code));
+}
+
+std::string format_authority(const http_settings& settings)
+{
+    const bool v6 = settings.address.find(':') != std::string::npos;
+    return (v6 ? "[" + settings.address + "]" : settings.address) + ":" +
+           std::to_string(settings.port);
+}
+
+// The request is surely unsent if not even its header has left libcurl.
+bool may_be_sent(CURL* easy)
+{
+    long n = 0;
+    curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &n);
+    return n > 0;
+}
+
+} // namespace
+
+struct http_call::state
+{
+    explicit state(http_settings chosen)
+        : settings(std::move(chosen)), authority(format_authority(settings))
+    {
+    }
+
+    ~state()
+    {
+        curl_slist_free_all(headers);
+        curl_easy_cleanup(easy);
+    }
+
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+
+    void add_header(const char* line)
+    {
+        auto* list = curl_slist_append(headers, line);
+        if (list == nullptr)
+            throw error("libcurl has no memory for a header");
+        headers = list;
+    }
+
+    template <typename Value>
+    void set(CURLoption option, Value value)
+    {
+        const auto code = curl_easy_setopt(easy, option, value);
+        if (code != CURLE_OK)
+            throw error("libcurl option " + std::to_string(option) + ": " +
+                        curl_easy_strerror(code));
+    }
+
+    void set_common_options();
+    http_response perform(const std::string& path, milliseconds timeout);
+
+    http_settings settings;
+    std::string authority;
+    CURL* easy = nullptr;
+    curl_slist* headers = nullptr;
+    received_body body;
+    std::array<char, CURL_ERROR_SIZE> message{};
+};
+
+void http_call::state::set_common_options()
+{
+    // The platform is reached directly, whatever the environment says.
+    set(CURLOPT_PROXY, "");
+    set(CURLOPT_NOSIGNAL, 1L);
+    set(CURLOPT_PROTOCOLS_STR, "http");
+    set(CURLOPT_FOLLOWLOCATION, 0L);
+    set(CURLOPT_TCP_NODELAY, 1L);
+    set(CURLOPT_CONNECTTIMEOUT_MS,
+        static_cast<long>(settings.connect_timeout.count()));
+    set(CURLOPT_WRITEFUNCTION, &append_body);
+    set(CURLOPT_WRITEDATA, static_cast<void*>(&body));
+    set(CURLOPT_ERRORBUFFER, message.data());
+    add_header("Content-Type: application/octet-stream");
+    // Without this header Pistache responds with "Connection: Close".
+    add_header("Connection: keep-alive");
+    // Pistache does not respond to this header, so libcurl would wait 1 s.
+    add_header("Expect:");
+    set(CURLOPT_HTTPHEADER, headers);
+}
+
+http_response http_call::state::perform(const std::string& path,
+                                        milliseconds timeout)
+{
+    const auto url = "http://" + authority + path;
+    set(CURLOPT_URL, url.c_str());
+    set(CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+    body.bytes.clear();
+    body.limit = settings.max_response_bytes;
+    message.front() = '\0';
+    const auto code = curl_easy_perform(easy);
+    if (code != CURLE_OK)
+    {
+        const auto* reason =
+            message.front() != '\0' ? message.data() : curl_easy_strerror(code);
+        throw transfer_error(url + ": " + reason, may_be_sent(easy));
+    }
+    long status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    return {static_cast<int>(status), std::move(body.bytes)};
+}
+
+http_call::http_call(http_settings settings)
+{
+    start_libcurl();
+    self = std::make_unique<state>(std::move(settings));
+    self->easy = curl_easy_init();
+    if (self->easy == nullptr)
+        throw error("libcurl can't create a handle");
+    self->set_common_options();
+}
+
+http_call::~http_call() = default;
+
+http_response http_call::post(const std::string& path, const std::string& body,
+                              connection_use use, milliseconds extra_wait)
+{
+    const long fresh = use == connection_use::fresh ? 1 : 0;
+    self->set(CURLOPT_FRESH_CONNECT, fresh);
+    self->set(CURLOPT_FORBID_REUSE, fresh);
+    self->set(CURLOPT_POST, 1L);
+    self->set(CURLOPT_POSTFIELDSIZE_LARGE,
+              static_cast<curl_off_t>(body.size()));
+    self->set(CURLOPT_POSTFIELDS, body.data());
+    return self->perform(path, self->settings.call_timeout + extra_wait);
+}
+
+http_response http_call::get(const std::string& path)
+{
+    self->set(CURLOPT_FRESH_CONNECT, 0L);
+    self->set(CURLOPT_FORBID_REUSE, 0L);
+    self->set(CURLOPT_HTTPGET, 1L);
+    return self->perform(path, self->settings.call_timeout);
+}
+
+const std::string& http_call::authority() const
+{
+    return self->authority;
+}
+
+} // namespace parsleyplank::store
--- a/test/standin/store_core.cpp
+++ b/test/standin/store_core.cpp
@@ -234,6 +234,8 @@
         faults.silent_watch = on;
     else if (name == "lapse_lease")
         lapse_lease(core, value);
+    else if (name == "list_down")
+        faults.list_down = on;
     else if (name == "list_frozen")
         faults.list_frozen = on;
     else if (name == "list_lag_ms")
--- a/test/standin/store_core.hpp
+++ b/test/standin/store_core.hpp
@@ -66,6 +66,8 @@
     std::uint64_t lost_answers = 0;
     // Watches are not woken by writes and end without entries.
     bool silent_watch = false;
+    // Refuses to show the instance list. Independent of the store's faults.
+    bool list_down = false;
     // The instance list stays as it is now.
     bool list_frozen = false;
     // Age of a change before the instance list shows it.
@@ -129,7 +131,7 @@
 // Ends the leases whose time is over.
 void lapse_due_leases(store_core& core, time_point now);
 
-// Lets reads see the present state until it is switched off.
+// Holds reads and watches at the present state until it is switched off.
 void set_stale_reads(store_core& core, bool on);
 
 // Adds, changes or removes an entry of the instance list.
@@ -142,8 +144,8 @@
                                                    time_point now);
 
 // Switches a fault by its name: down, hang, slow_ms, lost_answers,
-// stale_reads, silent_watch, lapse_lease, list_frozen, list_lag_ms. Throws
-// error, which holds the name, if there is no such fault.
+// stale_reads, silent_watch, lapse_lease, list_down, list_frozen, list_lag_ms.
+// Throws error, which holds the name, if there is no such fault.
 void set_fault(store_core& core, const std::string& name, std::uint64_t value);
 
 } // namespace parsleyplank::standin
--- a/test/support/fake_network.hpp
+++ b/test/support/fake_network.hpp
@@ -73,7 +73,7 @@
         std::string bytes;
     };
 
-    bool submit(const instance_id& from, const instance_id& to,
+    void submit(const instance_id& from, const instance_id& to,
                 const std::string& bytes);
     void put_under_way(const instance_id& to, const std::string& bytes);
 
