--- a/src/config/adoption.hpp
+++ b/src/config/adoption.hpp
@@ -42,9 +42,10 @@
 // missing.
 std::vector<part_digest> missing_parts(const adoption& state);
 
-// Takes a part that arrived; ignores one that is not missing. Throws
-// codec_error if the bytes do not have the digest.
-void offer_part(adoption& state, const part_digest& digest, std::string bytes);
+// Takes the missing ones of the parts that arrived and returns how many these
+// were. Throws codec_error at the first whose bytes do not have its digest; the
+// others before it are kept.
+std::size_t offer_parts(adoption& state, const part_map& arrived);
 
 // Adopts the wanted manifest if all its parts are held, and drops parts that it
 // does not need. Returns whether the held bundle changed. Throws codec_error if
--- a/src/config/bundle.hpp
+++ b/src/config/bundle.hpp
@@ -3,16 +3,13 @@
 
 // The stored form of a configuration: a manifest and content-addressed parts.
 //
-// Each section (regions, keys, client blocks, ...) is a tree. Its items are
-// sorted by their key and cut into leaves; the digests of the leaves are cut
-// into pages in the same way, until one page is left. Cuts depend on the hash
-// of an item's key only, so changing one item of 570,000 rewrites one leaf and
-// the few pages above it.
+// Each section (regions, keys, client blocks, ...) is a tree of its own, so a
+// change of one item of 570,000 rewrites one leaf and the few pages above it.
 
 #include <parsleyplank/config/model.hpp>
+#include <parsleyplank/config/section_tree.hpp>
 #include <parsleyplank/core/codec.hpp>
 
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,17 +17,11 @@
 namespace parsleyplank::config
 {
 
-// Largest part and largest manifest, in bytes; below the store's limit.
-inline constexpr std::size_t max_part_bytes = 999'999;
-
 // Form of manifest and parts that this code reads and writes.
 inline constexpr std::uint32_t bundle_format = 1;
 
-// SHA-256 of a part, 64 lower-case hexadecimal digits.
-using part_digest = std::string;
-
-// Parts by digest.
-using part_map = std::map<part_digest, std::string>;
+// Number of changes that a manifest lists.
+inline constexpr std::size_t listed_changes = 16;
 
 // Who made an accepted change. The change id is unique to one publication.
 struct change
@@ -56,11 +47,11 @@
 
 struct manifest
 {
-    // The change that made this manifest, then up to 15 earlier ones, newest
-    // first. A publisher whose answer was lost finds its change here even if
-    // others have published since.
+    // The change that made this manifest, then earlier ones, newest first. A
+    // publisher whose answer was lost finds its change here even if others have
+    // published since.
     std::vector<change> changes;
-    // In the order of section_names().
+    // Sections that are not listed are empty; unknown ones are skipped.
     std::vector<section_ref> sections;
 
     // Returns the epoch of the newest change; 0 if there is none.
@@ -69,6 +60,9 @@
     bool operator==(const manifest&) const = default;
 };
 
+// Name of the section of client blocks.
+inline constexpr const char* client_blocks_section = "client_blocks";
+
 struct encoded_bundle
 {
     std::vector<section_ref> sections;
@@ -94,13 +88,10 @@
                                        const part_map& parts,
                                        bool with_client_blocks = true);
 
-// Returns the digests of all parts of the manifest. Assumes that none is
-// missing; throws codec_error otherwise.
-std::vector<part_digest> all_parts(const manifest& description,
-                                   const part_map& parts);
-
-// Throws codec_error that names the digest if the bytes do not have it.
-void check_part(const part_digest& digest, std::string_view bytes);
+// Returns the digests of all parts that the manifest names, as far as its pages
+// are held. Throws codec_error for a damaged page.
+std::vector<part_digest> named_parts(const manifest& description,
+                                     const part_map& parts);
 
 // Returns the bytes of a manifest, and back. encode throws config_error if the
 // manifest is too large, decode throws codec_error if the bytes are damaged or
--- /dev/null
+++ b/src/lookup/block_table.cpp
@@ -0,0 +1,193 @@
+#include <parsleyplank/core/error.hpp>
+#include <parsleyplank/lookup/block_table.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <unordered_map>
+#include <utility>
+
+namespace parsleyplank::lookup
+{
+
+namespace
+{
+
+constexpr unsigned half_bits = 64;
+
+template <typename Key>
+struct key_block
+{
+    Key first;
+    // Last address, so that the end of the address space needs no extra bit.
+    Key last;
+    region_index region;
+};
+
+template <typename Key>
+Key to_key(const config::ip_address& address)
+{
+    if constexpr (sizeof(Key) == sizeof(uint128))
+        return (Key{address.high} << half_bits) | address.low;
+    else if constexpr (sizeof(Key) == sizeof(std::uint64_t))
+        return address.high;
+    else
+        return static_cast<Key>(address.low);
+}
+
+template <typename Key>
+key_block<Key> to_key_block(const block& from)
+{
+    constexpr unsigned bits = 8 * sizeof(Key);
+    const Key first = to_key<Key>(from.prefix.first);
+    const Key open =
+        from.prefix.length == 0
+            ? static_cast<Key>(~Key{0})
+            : static_cast<Key>((Key{1} << (bits - from.prefix.length)) - 1);
+    return {first, static_cast<Key>(first | open), from.region};
+}
+
+// Builds the ranges of nested blocks in order of their first address.
+template <typename Key>
+class range_builder
+{
+public:
+    explicit range_builder(range_table<Key>& table) : to(table)
+    {
+    }
+
+    // Assumes that blocks come by first address, then the outer before the
+    // inner, so that open blocks nest.
+    void add(const key_block<Key>& from)
+    {
+        while (!open.empty() && open.back().last < from.first)
+            end_block();
+        start_range(from.first, from.region);
+        open.push_back(from);
+    }
+
+    void end()
+    {
+        while (!open.empty())
+            end_block();
+        to.starts.shrink_to_fit();
+        to.regions.shrink_to_fit();
+    }
+
+private:
+    void end_block()
+    {
+        const Key last = open.back().last;
+        open.pop_back();
+        if (last != static_cast<Key>(~Key{0}))
+            start_range(static_cast<Key>(last + 1),
+                        open.empty() ? no_region : open.back().region);
+    }
+
+    void start_range(Key first, region_index region)
+    {
+        // A block that starts where the last range did takes its place.
+        if (to.starts.back() == first)
+        {
+            to.starts.pop_back();
+            to.regions.pop_back();
+        }
+        if (!to.regions.empty() && to.regions.back() == region)
+            return;
+        to.starts.push_back(first);
+        to.regions.push_back(region);
+    }
+
+    range_table<Key>& to;
+    std::vector<key_block<Key>> open;
+};
+
+template <typename Key>
+void build(range_table<Key>& table, const std::vector<block>& blocks)
+{
+    std::vector<key_block<Key>> list;
+    list.reserve(blocks.size());
+    std::ranges::transform(blocks, std::back_inserter(list), to_key_block<Key>);
+    // Stable, so that of equal prefixes the last one stays innermost.
+    std::ranges::stable_sort(
+        list, [](const auto& a, const auto& b)
+        { return a.first != b.first ? a.first < b.first : a.last > b.last; });
+    table.starts = {Key{0}};
+    table.regions = {no_region};
+    range_builder<Key> builder(table);
+    std::ranges::for_each(list, [&](const key_block<Key>& from)
+                          { builder.add(from); });
+    builder.end();
+}
+
+template <typename Key>
+region_index find_range(const range_table<Key>& table, Key key)
+{
+    if (table.starts.empty())
+        return no_region;
+    const auto it = std::ranges::upper_bound(table.starts, key);
+    return table
+        .regions[static_cast<std::size_t>(it - table.starts.begin()) - 1];
+}
+
+template <typename Key>
+std::size_t table_bytes(const range_table<Key>& table)
+{
+    return table.starts.capacity() * sizeof(Key) +
+           table.regions.capacity() * sizeof(region_index);
+}
+
+} // namespace
+
+block_table::block_table(std::vector<block> blocks)
+{
+    const auto v4_end =
+        std::ranges::stable_partition(blocks, [](const block& v)
+                                      { return !v.prefix.first.v6; })
+            .begin();
+    const std::vector<block> v6(v4_end, blocks.end());
+    blocks.erase(v4_end, blocks.end());
+    build(v4, blocks);
+    if (std::ranges::all_of(v6, [](const block& v)
+                            { return v.prefix.length <= half_bits; }))
+        build(v6_short, v6);
+    else
+        build(v6_long, v6);
+}
+
+region_index block_table::find(const config::ip_address& address) const
+{
+    if (!address.v6)
+        return find_range(v4, to_key<std::uint32_t>(address));
+    if (v6_long.starts.empty())
+        return find_range(v6_short, to_key<std::uint64_t>(address));
+    return find_range(v6_long, to_key<uint128>(address));
+}
+
+std::size_t block_table::memory_bytes() const
+{
+    return table_bytes(v4) + table_bytes(v6_short) + table_bytes(v6_long);
+}
+
+block_table make_block_table(const config::bundle& content)
+{
+    std::unordered_map<region_id, region_index> indices;
+    std::ranges::for_each(
+        content.regions, [&](const config::region& v)
+        { indices.emplace(v.id, static_cast<region_index>(indices.size())); });
+    std::vector<block> blocks;
+    blocks.reserve(content.client_blocks.size());
+    std::ranges::transform(
+        content.client_blocks, std::back_inserter(blocks),
+        [&](const config::client_block& v)
+        {
+            const auto it = indices.find(v.region);
+            if (it == indices.end())
+                throw config_error("client block \"" + v.prefix +
+                                   "\" is for the unknown region \"" +
+                                   v.region.value + "\"");
+            return block{config::parse_prefix(v.prefix), it->second};
+        });
+    return block_table(std::move(blocks));
+}
+
+} // namespace parsleyplank::lookup
--- /dev/null
+++ b/src/lookup/instance_rank.cpp
@@ -0,0 +1,144 @@
+#include <parsleyplank/core/rendezvous.hpp>
+#include <parsleyplank/lookup/instance_rank.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+
+namespace parsleyplank::lookup
+{
+
+namespace
+{
+
+constexpr std::uint32_t weight_total = 1'000;
+
+struct candidate
+{
+    const live_instance* instance = nullptr;
+    double weight = 0;
+    // Lower is better; see spread_score.
+    double score = 0;
+    std::uint32_t rounded = 0;
+};
+
+// Returns the score of weighted rendezvous hashing: among many instances each
+// is within the limit in proportion to its weight, and a caller's choice is
+// stable.
+double spread_score(std::string_view key, const live_instance& instance,
+                    double weight)
+{
+    const auto hash = rendezvous_weight(key, instance.id.value);
+    const double unit =
+        (static_cast<double>(hash) + 1) /
+        (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
+    return weight > 0 ? -std::log(unit) / weight
+                      : std::numeric_limits<double>::infinity();
+}
+
+double share_of(const live_instance& instance, const customer_id& customer)
+{
+    const auto it = instance.customer_shares.find(customer);
+    return it == instance.customer_shares.end() ? 0 : it->second.value;
+}
+
+// Multiplies the weights by the customer's shares unless nobody holds one.
+void prefer_holders(std::vector<candidate>& list, const customer_id& customer)
+{
+    if (std::ranges::none_of(
+            list, [&](const candidate& v)
+            { return v.weight * share_of(*v.instance, customer) > 0; }))
+        return;
+    std::ranges::for_each(list, [&](candidate& v)
+                          { v.weight *= share_of(*v.instance, customer); });
+}
+
+// Returns the candidates of a region, best first, at most `limit`.
+std::vector<candidate>
+region_candidates(std::span<const live_instance> instances,
+                  const region_id& region, const rank_request& request,
+                  std::size_t limit)
+{
+    std::vector<candidate> list;
+    std::ranges::for_each(instances,
+                          [&](const live_instance& v)
+                          {
+                              if (v.region == region && !v.leaving)
+                                  list.push_back({&v, std::max(v.weight, 0.0)});
+                          });
+    if (request.customer)
+        prefer_holders(list, *request.customer);
+    if (std::ranges::none_of(list,
+                             [](const candidate& v) { return v.weight > 0; }))
+        std::ranges::for_each(list, [](candidate& v) { v.weight = 1; });
+    std::ranges::for_each(
+        list, [&](candidate& v)
+        { v.score = spread_score(request.spread_key, *v.instance, v.weight); });
+    std::ranges::sort(list,
+                      [](const candidate& a, const candidate& b)
+                      {
+                          return a.score != b.score
+                                     ? a.score < b.score
+                                     : a.instance->id < b.instance->id;
+                      });
+    list.resize(std::min(list.size(), limit));
+    std::ranges::stable_sort(list, std::ranges::greater(), &candidate::weight);
+    return list;
+}
+
+// Rounds the weights to thousandths that sum to 1,000 by largest remainder.
+void round_weights(std::vector<candidate>& list)
+{
+    const double sum = std::accumulate(list.begin(), list.end(), 0.0,
+                                       [](double n, const candidate& v)
+                                       { return n + v.weight; });
+    std::uint32_t rest = weight_total;
+    std::vector<candidate*> order;
+    const auto exact = [&](const candidate& v)
+    {
+        return v.weight / sum * weight_total;
+    };
+    for (candidate& v : list)
+    {
+        v.rounded = std::min(static_cast<std::uint32_t>(exact(v)), rest);
+        rest -= v.rounded;
+        order.push_back(&v);
+    }
+    std::ranges::stable_sort(order, std::ranges::greater(),
+                             [&](const candidate* v)
+                             { return exact(*v) - v->rounded; });
+    std::for_each(order.begin(),
+                  order.begin() +
+                      std::min<std::ptrdiff_t>(rest, std::ssize(order)),
+                  [](candidate* v) { ++v->rounded; });
+}
+
+} // namespace
+
+std::vector<ranked_instance>
+rank_instances(std::span<const live_instance> instances,
+               const rank_request& request)
+{
+    std::vector<ranked_instance> ranked;
+    std::ranges::for_each(
+        request.regions,
+        [&](const region_id& region)
+        {
+            auto list = region_candidates(instances, region, request,
+                                          request.limit - ranked.size());
+            if (ranked.empty() && !list.empty())
+                round_weights(list);
+            std::ranges::transform(list, std::back_inserter(ranked),
+                                   [](const candidate& v)
+                                   {
+                                       return ranked_instance{
+                                           v.instance->id, v.instance->address,
+                                           v.instance->port, v.instance->region,
+                                           v.rounded};
+                                   });
+        });
+    return ranked;
+}
+
+} // namespace parsleyplank::lookup
--- /dev/null
+++ b/src/lookup/lookup.cpp
@@ -0,0 +1,148 @@
+#include <parsleyplank/lookup/lookup.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+
+namespace parsleyplank::lookup
+{
+
+namespace
+{
+
+// Decodes percent escapes and "+" of a query parameter.
+std::string decode_parameter(std::string_view text)
+{
+    std::string decoded;
+    while (!text.empty())
+    {
+        if (text.front() != '%')
+        {
+            decoded.push_back(text.front() == '+' ? ' ' : text.front());
+            text.remove_prefix(1);
+            continue;
+        }
+        unsigned n = 0;
+        const auto digits = text.substr(1, 2);
+        const auto* const end = digits.data() + digits.size();
+        const auto [it, ec] = std::from_chars(digits.data(), end, n, 16);
+        if (ec != std::errc() || it != end || digits.size() != 2)
+            throw bad_lookup("query holds a \"%\" without two hexadecimal "
+                             "digits");
+        decoded.push_back(static_cast<char>(n));
+        text.remove_prefix(3);
+    }
+    return decoded;
+}
+
+// Returns the parameters of a query string.
+std::map<std::string, std::string> split_query(std::string_view query)
+{
+    std::map<std::string, std::string> parameters;
+    while (!query.empty())
+    {
+        const auto pair = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(pair.size() + 1, query.size()));
+        const auto equals = pair.find('=');
+        const auto name = decode_parameter(pair.substr(0, equals));
+        const auto value = equals == pair.npos
+                               ? ""
+                               : decode_parameter(pair.substr(equals + 1));
+        // An unknown name is not repeated: it could be an API key.
+        if (name != "client" && name != "customer")
+            throw bad_lookup("unknown parameter; use client and customer");
+        if (!parameters.emplace(name, value).second)
+            throw bad_lookup("parameter " + name + " is given twice");
+    }
+    return parameters;
+}
+
+std::vector<region_id> preferred_regions(const config::bundle& content,
+                                         const region_id& first)
+{
+    std::vector<region_id> regions{first};
+    const auto it =
+        std::ranges::find(content.regions, first, &config::region::id);
+    if (it != content.regions.end())
+        regions.insert(regions.end(), it->fallbacks.begin(),
+                       it->fallbacks.end());
+    return regions;
+}
+
+} // namespace
+
+lookup_request parse_lookup(std::string_view query)
+{
+    const auto parameters = split_query(query);
+    const auto client = parameters.find("client");
+    if (client == parameters.end())
+        throw bad_lookup("parameter client is missing; use "
+                         "/v1/lookup?client=10.0.0.1");
+    lookup_request request;
+    try
+    {
+        request.client = config::parse_address(client->second);
+    }
+    catch (const config_error& ec)
+    {
+        throw bad_lookup(std::string("parameter client: ") + ec.what());
+    }
+    const auto customer = parameters.find("customer");
+    if (customer != parameters.end())
+        request.customer = customer_id(customer->second);
+    return request;
+}
+
+lookup_response answer_lookup(const lookup_snapshot& snapshot,
+                              const lookup_request& request)
+{
+    const config::bundle& content = *snapshot.content;
+    if (request.customer &&
+        std::ranges::find(content.customers, *request.customer,
+                          &config::customer::id) == content.customers.end())
+        throw bad_lookup("parameter customer is not a customer's id");
+    lookup_response response;
+    const region_index at = snapshot.blocks->find(request.client);
+    response.region = at < content.regions.size()
+                          ? content.regions[at].id
+                          : content.settings.default_region;
+    response.epoch = content.epoch;
+    response.ttl = content.settings.lookup_ttl;
+    const std::string client = config::to_string(request.client);
+    rank_request ranking;
+    ranking.regions = preferred_regions(content, response.region);
+    ranking.customer = request.customer;
+    ranking.spread_key = client;
+    response.instances = rank_instances(snapshot.instances, ranking);
+    return response;
+}
+
+std::string to_json(const lookup_response& response)
+{
+    auto list = nlohmann::json::array();
+    std::ranges::for_each(response.instances,
+                          [&](const ranked_instance& v)
+                          {
+                              list.push_back({{"id", v.id.value},
+                                              {"address", v.address},
+                                              {"port", v.port},
+                                              {"region", v.region.value},
+                                              {"weight", v.weight}});
+                          });
+    const nlohmann::json body{{"region", response.region.value},
+                              {"epoch", response.epoch.value},
+                              {"ttl_ms", response.ttl.count()},
+                              {"instances", list}};
+    return body.dump();
+}
+
+std::string error_json(std::string_view message)
+{
+    // Messages quote input, which may not be UTF-8.
+    return nlohmann::json{{"error", message}}.dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace parsleyplank::lookup
