--- /dev/null
+++ b/src/dataplane/front_connection.hpp
@@ -0,0 +1,132 @@
+#ifndef PARSLEYPLANK_DATAPLANE_FRONT_CONNECTION_HPP
+#define PARSLEYPLANK_DATAPLANE_FRONT_CONNECTION_HPP
+
+// One caller's connection: collects a request, hands it out, and sends the one
+// response. Pistache names connections by file descriptor in its write queue,
+// so nothing is queued after the connection has ended, and what was queued
+// before is flushed while the descriptor still belongs to it.
+
+#include <parsleyplank/dataplane/http_front.hpp>
+#include <parsleyplank/dataplane/request_head.hpp>
+
+#include <pistache/http.h>
+#include <pistache/peer.h>
+#include <pistache/transport.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace parsleyplank::dataplane
+{
+
+class front_connection;
+
+// What the connections of one server share.
+struct front_core
+{
+    front_options options;
+    request_handler handler;
+
+    std::atomic<bool> draining = false;
+    std::atomic<bool> stopping = false;
+    std::atomic<std::uint64_t> requests = 0;
+    std::atomic<std::uint64_t> bad_requests = 0;
+    std::atomic<std::uint64_t> body_memory_refusals = 0;
+    std::atomic<std::uint64_t> early_requests = 0;
+    std::atomic<std::uint64_t> timeouts = 0;
+    std::atomic<std::size_t> body_bytes = 0;
+
+    // Guards the members below.
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::unordered_map<std::size_t, std::shared_ptr<front_connection>>
+        connections;
+    std::size_t outstanding = 0;
+    std::size_t pending_writes = 0;
+};
+
+// Adds to a counter that the core's mutex guards.
+void add_to(front_core& core, std::size_t front_core::*counter, int n);
+
+class front_connection : public std::enable_shared_from_this<front_connection>
+{
+public:
+    front_connection(std::shared_ptr<front_core> shared_core,
+                     const std::shared_ptr<Pistache::Tcp::Peer>& its_peer,
+                     Pistache::Tcp::Transport* its_transport,
+                     Pistache::Http::Handler* its_handler);
+
+    // Takes received bytes; on the server thread.
+    void take_input(std::string_view data);
+
+    // Sends the response of the outstanding request. Returns false if the
+    // connection has ended.
+    bool complete(const outbound_response& response);
+
+    // Closes the connection if a timeout of the options has passed.
+    void check_timeouts(time_point now);
+
+    // Shuts the socket down; Pistache then reports the end.
+    void shut_down();
+
+    // Nothing is sent from now on. Returns whether responses were still queued.
+    bool mark_ended();
+
+    bool ended() const;
+
+private:
+    enum class phase
+    {
+        idle,
+        head,
+        body,
+        outstanding,
+        // Answered for the last time; waits for the caller to close.
+        finished
+    };
+
+    void take_head(std::string_view& data);
+    void start_body(std::size_t head_size);
+    void take_body(std::string_view& data);
+    void refuse(int status, const std::string& text);
+    void refuse(const outbound_response& response);
+    void dispatch();
+    Pistache::Async::Promise<ssize_t> write(const outbound_response& response,
+                                            bool close);
+    void await_write(Pistache::Async::Promise<ssize_t> sent, bool close);
+    void end_write(bool close);
+    bool has_timed_out(time_point now) const;
+
+    const std::shared_ptr<front_core> core;
+    const std::weak_ptr<Pistache::Tcp::Peer> peer;
+    Pistache::Tcp::Transport* const transport;
+    Pistache::Http::Handler* const pistache_handler;
+    const int fd;
+
+    // Guards the members below.
+    mutable std::mutex mutex;
+    phase now_in = phase::idle;
+    bool has_ended = false;
+    // Close after the response of the outstanding request.
+    bool close_after = false;
+    // False for HEAD: a body would be taken for the next response.
+    bool wants_body = true;
+    bool line_checked = false;
+    std::string buffer;
+    inbound_request request;
+    std::uint64_t body_left = 0;
+    std::size_t queued_writes = 0;
+    time_point phase_start;
+    time_point last_input;
+    time_point body_limit;
+    time_point write_start;
+};
+
+} // namespace parsleyplank::dataplane
+
+#endif
--- a/src/dataplane/http_front.hpp
+++ b/src/dataplane/http_front.hpp
@@ -58,6 +58,7 @@
     std::string body;
     // IP address of the caller.
     std::string peer_address;
+    // When the request was complete.
     time_point arrival;
     // Holds the body's part of max_body_memory until the last copy is gone.
     std::shared_ptr<void> body_memory;
@@ -86,7 +87,7 @@
     // Sends the response. Returns false, without effect, if the request was
     // completed before or its caller has disconnected. If every copy is
     // destroyed before a call, the caller gets 500 with outcome "unknown".
-    bool complete(outbound_response response) const;
+    bool complete(const outbound_response& response) const;
 
     // Returns whether the caller has disconnected. A request that has not been
     // dispatched need not be run then.
--- /dev/null
+++ b/src/placement/ejection.cpp
@@ -0,0 +1,111 @@
+#include <parsleyplank/placement/ejection.hpp>
+
+#include <algorithm>
+
+namespace parsleyplank::placement
+{
+
+namespace
+{
+
+bool is_ejected(const server_health& server, time_point now)
+{
+    return now < server.ejected_until;
+}
+
+milliseconds ejection_time(const ejection_options& options,
+                           std::uint32_t ejections)
+{
+    auto time = options.base;
+    for (std::uint32_t n = 0; n < ejections && time < options.longest; ++n)
+        time *= 2;
+    return std::min(time, options.longest);
+}
+
+bool reported_out(const server_health& server, const ejection_options& options,
+                  time_point now)
+{
+    const bool recent =
+        server.observed && now - server.observed_at <= options.observation_age;
+    return !server.reported_healthy && !recent;
+}
+
+// Health endpoints that take more than half the servers out are not believed:
+// a faulty probe must not empty an upstream.
+bool believes_reports(const ejection_table& table, time_point now)
+{
+    const auto out = std::ranges::count_if(
+        table.servers,
+        [&](const auto& it)
+        {
+            return is_ejected(it.second, now) ||
+                   reported_out(it.second, table.options, now);
+        });
+    return 2 * static_cast<std::size_t>(out) <= table.servers.size();
+}
+
+} // namespace
+
+void set_members(ejection_table& table,
+                 std::span<const backend_server_id> members)
+{
+    std::erase_if(
+        table.servers, [&](const auto& it)
+        { return std::ranges::find(members, it.first) == members.end(); });
+    for (const auto& id : members)
+        table.servers.try_emplace(id);
+}
+
+bool record_result(ejection_table& table, const backend_server_id& id,
+                   bool success, time_point now)
+{
+    const auto it = table.servers.find(id);
+    if (it == table.servers.end())
+        return false;
+    auto& server = it->second;
+    server.observed = true;
+    server.observed_at = now;
+    if (success)
+    {
+        server.consecutive_failures = 0;
+        // A request sent before the ejection proves nothing about it.
+        if (!is_ejected(server, now))
+            server.ejections = 0;
+        return false;
+    }
+    ++server.consecutive_failures;
+    const auto limit = server.ejections > 0 ? 1U : table.options.failures;
+    if (is_ejected(server, now) || server.consecutive_failures < limit ||
+        ejected_count(table, now) >= table.servers.size() / 2)
+        return false;
+    server.ejected_until = now + ejection_time(table.options, server.ejections);
+    ++server.ejections;
+    server.consecutive_failures = 0;
+    return true;
+}
+
+void record_health(ejection_table& table, const backend_server_id& id,
+                   bool healthy)
+{
+    if (const auto it = table.servers.find(id); it != table.servers.end())
+        it->second.reported_healthy = healthy;
+}
+
+bool is_usable(const ejection_table& table, const backend_server_id& id,
+               time_point now)
+{
+    const auto it = table.servers.find(id);
+    if (it == table.servers.end() || is_ejected(it->second, now))
+        return false;
+    return !reported_out(it->second, table.options, now) ||
+           !believes_reports(table, now);
+}
+
+std::size_t ejected_count(const ejection_table& table, time_point now)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(table.servers, [&](const auto& it)
+                              { return is_ejected(it.second, now); }));
+}
+
+} // namespace parsleyplank::placement
--- /dev/null
+++ b/src/placement/fair_queue.cpp
@@ -0,0 +1,133 @@
+#include <parsleyplank/placement/fair_queue.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace parsleyplank::placement
+{
+
+namespace
+{
+
+double fullness(const fair_queue::flow& flow)
+{
+    return static_cast<double>(flow.requests.size()) / flow.weight;
+}
+
+// Removes the requests for which the predicate holds. The others move up, so
+// that a customer is not charged for requests that got no slot.
+template <typename Predicate>
+std::size_t remove_waiting(fair_queue& queue, fair_queue::flow& flow,
+                           Predicate predicate)
+{
+    if (flow.requests.empty())
+        return 0;
+    double start = flow.requests.front().start;
+    const auto n = std::erase_if(flow.requests, predicate);
+    if (n == 0)
+        return 0;
+    for (auto& it : flow.requests)
+    {
+        it.start = start;
+        start += 1 / flow.weight;
+    }
+    flow.finish = start;
+    queue.size -= n;
+    return n;
+}
+
+// A customer that waits for nothing keeps its entry only while its last virtual
+// finish still matters.
+void drop_idle_flows(fair_queue& queue)
+{
+    std::erase_if(queue.flows,
+                  [&](const auto& it)
+                  {
+                      return it.second.requests.empty() &&
+                             it.second.finish <= queue.virtual_time;
+                  });
+}
+
+queued_request evict_newest(fair_queue& queue)
+{
+    auto& flow = std::ranges::max_element(queue.flows, {},
+                                          [](const auto& it)
+                                          { return fullness(it.second); })
+                     ->second;
+    auto evicted = std::move(flow.requests.back());
+    flow.requests.pop_back();
+    flow.finish -= 1 / flow.weight;
+    --queue.size;
+    return std::move(evicted.request);
+}
+
+} // namespace
+
+std::optional<queued_request> push(fair_queue& queue, queued_request request)
+{
+    auto& flow = queue.flows[request.customer];
+    flow.weight = std::max(request.weight, 1e-6);
+    const double start = std::max(queue.virtual_time, flow.finish);
+    flow.finish = start + 1 / flow.weight;
+    flow.requests.push_back({std::move(request), start});
+    ++queue.size;
+    if (queue.size <= queue.max_size)
+        return std::nullopt;
+    return evict_newest(queue);
+}
+
+std::optional<queued_request> pop(fair_queue& queue)
+{
+    if (queue.size == 0)
+    {
+        queue.flows.clear();
+        queue.virtual_time = 0;
+        return std::nullopt;
+    }
+    auto next = queue.flows.end();
+    for (auto it = queue.flows.begin(); it != queue.flows.end(); ++it)
+    {
+        if (!it->second.requests.empty() &&
+            (next == queue.flows.end() ||
+             it->second.requests.front().start <
+                 next->second.requests.front().start))
+            next = it;
+    }
+    auto first = std::move(next->second.requests.front());
+    next->second.requests.pop_front();
+    --queue.size;
+    queue.virtual_time = std::max(queue.virtual_time, first.start);
+    drop_idle_flows(queue);
+    return std::move(first.request);
+}
+
+std::vector<queued_request> expire(fair_queue& queue, time_point now)
+{
+    std::vector<queued_request> expired;
+    for (auto& [customer, flow] : queue.flows)
+    {
+        remove_waiting(queue, flow,
+                       [&](const fair_queue::waiting& it)
+                       {
+                           if (it.request.expires > now)
+                               return false;
+                           expired.push_back(it.request);
+                           return true;
+                       });
+    }
+    return expired;
+}
+
+bool remove(fair_queue& queue, const customer_id& customer,
+            std::uint64_t number)
+{
+    const auto it = queue.flows.find(customer);
+    if (it == queue.flows.end())
+        return false;
+    return remove_waiting(queue, it->second,
+                          [&](const fair_queue::waiting& one)
+                          { return one.request.number == number; }) > 0;
+}
+
+} // namespace parsleyplank::placement
--- /dev/null
+++ b/src/placement/region_choice.cpp
@@ -0,0 +1,112 @@
+#include <parsleyplank/placement/region_choice.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleyplank::placement
+{
+
+namespace
+{
+
+bool link_has_room(const region_room& room, double bytes)
+{
+    return room.local || room.spare_link_bytes >= bytes;
+}
+
+bool has_room(const region_room& room, double bytes)
+{
+    return room.healthy && room.spare_slots > 0 && link_has_room(room, bytes);
+}
+
+const region_id* draw(const region_weights& weights, std::mt19937_64& rng)
+{
+    auto at =
+        std::uniform_int_distribution<std::uint32_t>(0, ppm_total - 1)(rng);
+    const auto it = std::ranges::find_if(weights,
+                                         [&](const auto& one)
+                                         {
+                                             if (at < one.second)
+                                                 return true;
+                                             at -= one.second;
+                                             return false;
+                                         });
+    return it == weights.end() ? nullptr : &it->first;
+}
+
+// Gives away ppm_total by parts of a whole; the last one with a part takes the
+// rounding remainder.
+region_weights to_weights(std::span<const region_demand> regions,
+                          std::span<const double> parts, double whole)
+{
+    region_weights weights;
+    std::uint32_t left = ppm_total;
+    region_id last;
+    for (std::size_t n = 0; n < regions.size(); ++n)
+    {
+        if (parts[n] <= 0)
+            continue;
+        const auto share = std::min(left, static_cast<std::uint32_t>(std::floor(
+                                              parts[n] / whole * ppm_total)));
+        weights[regions[n].region] = share;
+        left -= share;
+        last = regions[n].region;
+    }
+    weights[last] += left;
+    return weights;
+}
+
+} // namespace
+
+region_decision choose_region(const region_weights& weights,
+                              std::span<const region_room> rooms,
+                              double expected_bytes, std::mt19937_64& rng)
+{
+    region_decision decision;
+    const auto* drawn = draw(weights, rng);
+    if (drawn == nullptr)
+        return decision;
+    const auto it = std::ranges::find(rooms, *drawn, &region_room::region);
+    if (it != rooms.end() && has_room(*it, expected_bytes))
+    {
+        decision.region = *drawn;
+        return decision;
+    }
+    if (std::ranges::any_of(rooms, [&](const region_room& room)
+                            { return has_room(room, expected_bytes); }))
+        decision.refusal = refusal_reason::shift_cap;
+    else if (it != rooms.end() && it->healthy && it->spare_slots > 0)
+        decision.refusal = refusal_reason::link_bandwidth;
+    return decision;
+}
+
+region_weights target_weights(std::span<const region_demand> regions,
+                              double demand)
+{
+    if (regions.empty())
+        return {};
+    const double wanted = std::max(demand, 0.0);
+    std::vector<double> parts(regions.size(), 0);
+    std::vector<double> room(regions.size(), 0);
+    double served = 0;
+    double total_room = 0;
+    for (std::size_t n = 0; n < regions.size(); ++n)
+    {
+        if (regions[n].healthy)
+            room[n] = std::max(regions[n].capacity, 0.0);
+        parts[n] = std::min(room[n], wanted - served);
+        served += parts[n];
+        total_room += room[n];
+    }
+    if (total_room <= 0 || wanted <= 0)
+    {
+        const auto it =
+            std::ranges::find(regions, true, &region_demand::healthy);
+        const auto& only = it == regions.end() ? regions.front() : *it;
+        return {{only.region, ppm_total}};
+    }
+    return served < wanted ? to_weights(regions, room, total_room)
+                           : to_weights(regions, parts, wanted);
+}
+
+} // namespace parsleyplank::placement
--- /dev/null
+++ b/src/placement/server_choice.cpp
@@ -0,0 +1,230 @@
+#include <parsleyplank/core/hash.hpp>
+#include <parsleyplank/core/rendezvous.hpp>
+#include <parsleyplank/placement/server_choice.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <string>
+#include <utility>
+
+namespace parsleyplank::placement
+{
+
+namespace
+{
+
+using seconds_double = std::chrono::duration<double>;
+
+constexpr std::size_t least_subset = 3;
+constexpr double least_ramp = 0.1;
+
+struct candidate
+{
+    const backend_server_id* id = nullptr;
+    server_state* state = nullptr;
+    double weight = 0;
+};
+
+// Mean latency of the servers that have one, for those that have none. 1 ms if
+// nothing is known; the value only has to be the same for all.
+double mean_latency(const server_pool& pool)
+{
+    double sum = 0;
+    int n = 0;
+    for (const auto& [id, it] : pool.servers)
+    {
+        if (it.latency_ms > 0)
+        {
+            sum += it.latency_ms;
+            ++n;
+        }
+    }
+    return n == 0 ? 1 : sum / n;
+}
+
+// The own latency, drawn towards the mean the longer it has not been seen.
+double expected_latency(const server_state& server, const choice_options& opts,
+                        double mean, time_point now)
+{
+    if (server.latency_ms <= 0)
+        return mean;
+    const auto age = seconds_double(now - server.latency_at);
+    const double keep =
+        std::exp(-std::max(0.0, age / seconds_double(opts.latency_decay)));
+    return server.latency_ms * keep + mean * (1 - keep);
+}
+
+double cost(const server_state& server, const choice_options& opts, double mean,
+            time_point now)
+{
+    double factor = 1;
+    if (now - server.reported_at <= opts.report_age)
+        factor += opts.reported_weight * server.reported_load;
+    return (server.in_flight + 1) * factor *
+           expected_latency(server, opts, mean, now);
+}
+
+std::vector<candidate>
+find_candidates(server_pool& pool,
+                const std::function<bool(const backend_server_id&)>& accepts,
+                time_point now)
+{
+    std::vector<candidate> found;
+    found.reserve(pool.servers.size());
+    for (auto& [id, it] : pool.servers)
+    {
+        if (it.leaving || it.in_flight >= usable_slots(it, pool.options, now) ||
+            !accepts(id))
+            continue;
+        found.push_back({&id, &it, ramp(it, pool.options, now)});
+    }
+    // The hash table's order differs between library versions; draws must not.
+    std::ranges::sort(found, {}, [](const candidate& it) { return *it.id; });
+    return found;
+}
+
+// Draws one candidate by weight and takes it out.
+candidate draw(std::vector<candidate>& from, std::mt19937_64& rng)
+{
+    double total = 0;
+    std::ranges::for_each(from,
+                          [&](const candidate& it) { total += it.weight; });
+    double at = std::uniform_real_distribution<double>(0, total)(rng);
+    auto it = std::ranges::find_if(from,
+                                   [&](const candidate& one)
+                                   {
+                                       at -= one.weight;
+                                       return at < 0;
+                                   });
+    if (it == from.end())
+        it = std::prev(from.end());
+    const auto drawn = *it;
+    from.erase(it);
+    return drawn;
+}
+
+} // namespace
+
+std::vector<backend_server_id>
+choose_subset(const instance_id& self, const upstream_id& upstream,
+              std::span<const backend_server_id> servers,
+              std::uint32_t connection_budget, std::uint32_t instances,
+              std::uint32_t slots_per_server)
+{
+    const auto part = connection_budget / std::max(1U, instances);
+    const std::size_t wanted = std::max<std::size_t>(
+        least_subset, part / std::max(1U, slots_per_server));
+    const auto key = upstream.value + '/' + self.value;
+    std::vector<backend_server_id> order(servers.begin(), servers.end());
+    std::ranges::sort(
+        order, {},
+        [&](const backend_server_id& id)
+        { return std::pair(~rendezvous_weight(key, id.value), id.value); });
+    order.resize(std::min(wanted, order.size()));
+    return order;
+}
+
+void set_members(server_pool& pool, std::span<const backend_server_id> members,
+                 time_point now)
+{
+    // Without any former server there is nothing to compare with, and a ramp of
+    // all servers together would only take away slots.
+    const auto since =
+        pool.servers.empty() ? now - pool.options.slow_start : now;
+    std::erase_if(
+        pool.servers, [&](const auto& it)
+        { return std::ranges::find(members, it.first) == members.end(); });
+    for (const auto& id : members)
+    {
+        const auto [it, added] = pool.servers.try_emplace(id);
+        if (added)
+            it->second.since = since;
+    }
+}
+
+void set_leaving(server_pool& pool, const backend_server_id& id, bool leaving)
+{
+    if (const auto it = pool.servers.find(id); it != pool.servers.end())
+        it->second.leaving = leaving;
+}
+
+void restart_slow_start(server_pool& pool, const backend_server_id& id,
+                        time_point now)
+{
+    if (const auto it = pool.servers.find(id); it != pool.servers.end())
+    {
+        it->second.since = now;
+        it->second.latency_ms = 0;
+    }
+}
+
+double ramp(const server_state& server, const choice_options& options,
+            time_point now)
+{
+    if (options.slow_start <= std::chrono::seconds::zero())
+        return 1;
+    const double part =
+        seconds_double(now - server.since) / seconds_double(options.slow_start);
+    return std::clamp(part, least_ramp, 1.0);
+}
+
+std::uint32_t usable_slots(const server_state& server,
+                           const choice_options& options, time_point now)
+{
+    const double slots =
+        std::floor(options.slots_per_server * ramp(server, options, now));
+    return std::max(1U, static_cast<std::uint32_t>(slots));
+}
+
+const backend_server_id*
+choose_server(server_pool& pool,
+              const std::function<bool(const backend_server_id&)>& accepts,
+              time_point now, std::mt19937_64& rng)
+{
+    auto candidates = find_candidates(pool, accepts, now);
+    if (candidates.empty())
+        return nullptr;
+    auto chosen = draw(candidates, rng);
+    if (!candidates.empty())
+    {
+        const auto other = draw(candidates, rng);
+        const double mean = mean_latency(pool);
+        if (cost(*other.state, pool.options, mean, now) <
+            cost(*chosen.state, pool.options, mean, now))
+            chosen = other;
+    }
+    ++chosen.state->in_flight;
+    return chosen.id;
+}
+
+void finish_request(server_pool& pool, const backend_server_id& id,
+                    std::chrono::microseconds latency, time_point now)
+{
+    const auto it = pool.servers.find(id);
+    if (it == pool.servers.end())
+        return;
+    auto& server = it->second;
+    if (server.in_flight > 0)
+        --server.in_flight;
+    if (latency <= std::chrono::microseconds::zero())
+        return;
+    const double sample =
+        std::chrono::duration<double, std::milli>(latency).count();
+    const double weight =
+        server.latency_ms > 0 ? pool.options.latency_weight : 1;
+    server.latency_ms += weight * (sample - server.latency_ms);
+    server.latency_at = now;
+}
+
+void record_report(server_pool& pool, const backend_server_id& id, double load,
+                   time_point now)
+{
+    const auto it = pool.servers.find(id);
+    if (it == pool.servers.end() || std::isnan(load))
+        return;
+    it->second.reported_load = std::clamp(load, 0.0, 1.0);
+    it->second.reported_at = now;
+}
+
+} // namespace parsleyplank::placement
--- a/src/placement/shift.hpp
+++ b/src/placement/shift.hpp
@@ -38,10 +38,11 @@
 // to ppm_total.
 shift_state start_shift(const region_weights& weights, time_point now);
 
-// Moves the weights towards the target: by at most cap * elapsed / interval,
-// with elapsed no longer than longest_step. Over any window of one interval the
-// moved share stays within the cap. Regions that leave the target go to 0 at
-// the same pace. Throws error if the target does not sum to ppm_total.
+// Moves the weights towards the target. Over any window of one interval the
+// moved share stays within the cap, however often or seldom it is called. Calls
+// less than 100 ms after the last step change nothing. Regions that are not in
+// the target go to 0 at the same pace. Throws error if the target does not sum
+// to ppm_total.
 void step_shift(shift_state& state, const region_weights& target,
                 const shift_options& options, time_point now);
 
