--- a/src/claims/bucket.hpp
+++ b/src/claims/bucket.hpp
@@ -108,7 +108,10 @@
     key_map<claim_entry> changed;
     std::vector<hash128_value> added;
     std::vector<operation> operations;
+    // Size of the entries in the current segment.
     std::size_t bytes = 0;
+    // An operation did not fit: the current segment has to be sealed.
+    bool full = false;
 };
 
 struct bucket
@@ -135,10 +138,16 @@
     staged_write staged;
     // Reference to the copy of the current segment, once it is written.
     std::optional<segment_ref> copy;
+    // Copies that no head refers to: another writer sealed the segment at a
+    // later revision.
+    std::vector<segment_ref> orphans;
     // Retired copies whose deletion is confirmed, and the one in flight.
     std::vector<segment_ref> deleted;
     std::optional<segment_ref> deleting;
     std::uint64_t delete_call = 0;
+    time_point delete_at;
+    // Pending operations may be answered without a write.
+    bool unsettled = false;
 };
 
 // What to do about an operation that meets an entry.
@@ -182,12 +191,20 @@
 // Puts the staged operations back in front of the pending ones.
 void unstage(bucket& b);
 
+// Returns the first sealed segment of the incoming head that is not loaded, or
+// nullptr.
+const segment_ref* first_missing(const bucket& b);
+
 // Replaces the head by the incoming one. All its sealed segments are loaded.
 void adopt_incoming(bucket& b);
 
 // Adds a sealed segment that was read.
 void add_sealed(bucket& b, const segment& sealed);
 
+// Returns the next copy to delete, or nothing: an orphan, or a retired one that
+// is not yet confirmed deleted.
+std::optional<segment_ref> next_delete(const bucket& b);
+
 } // namespace parsleyplank::claims
 
 #endif
--- /dev/null
+++ b/src/claims/bucket_writer.cpp
@@ -0,0 +1,362 @@
+#include <parsleyplank/claims/bucket_writer.hpp>
+#include <parsleyplank/claims/writer_store.hpp>
+#include <parsleyplank/store/kv_store.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace parsleyplank::claims
+{
+
+namespace
+{
+
+bucket& use_bucket(bucket_writer& writer, std::uint32_t number, time_point now)
+{
+    bucket& b = writer.buckets[number];
+    b.number = number;
+    b.used_at = now;
+    return b;
+}
+
+void reply(bucket_writer& writer, const attempt_id& to, claim_outcome outcome,
+           kept_response response = {})
+{
+    writer.messages[to.instance].replies.push_back(
+        {to, outcome, std::move(response)});
+    writer.counters.granted += outcome == claim_outcome::granted ? 1 : 0;
+    writer.counters.refused += outcome == claim_outcome::refused ? 1 : 0;
+}
+
+claim_outcome outcome_of(decision d)
+{
+    switch (d)
+    {
+    case decision::granted:
+        return claim_outcome::granted;
+    case decision::replay:
+        return claim_outcome::replay;
+    case decision::unknown:
+        return claim_outcome::unknown;
+    case decision::key_reused:
+        return claim_outcome::key_reused;
+    case decision::released:
+        return claim_outcome::released;
+    case decision::recorded:
+        return claim_outcome::recorded;
+    case decision::write:
+    case decision::ask_owner:
+        break;
+    }
+    return claim_outcome::in_flight;
+}
+
+void query_owner(bucket_writer& writer, const bucket& b,
+                 const blocked_claim& claim)
+{
+    writer.messages[claim.owner.instance].queries.push_back(
+        {claim.owner, b.number, claim.op.entry.key});
+}
+
+// Answers an operation from the content of the store, or blocks it until the
+// owner of the key's claim has answered. Returns false if it needs a write.
+bool settle_operation(bucket_writer& writer, bucket& b, const operation& op,
+                      time_point now)
+{
+    const claim_entry* existing = find_entry(b, op.entry.key);
+    const decision d = decide(existing, op);
+    if (d == decision::write)
+        return false;
+    if (d == decision::ask_owner)
+    {
+        b.blocked.push_back(
+            {op, existing->attempt, now + writer.settings.query_wait});
+        query_owner(writer, b, b.blocked.back());
+        return true;
+    }
+    reply(writer, op.entry.attempt, outcome_of(d),
+          d == decision::replay ? existing->response : kept_response{});
+    return true;
+}
+
+void settle(bucket_writer& writer, bucket& b, time_point now)
+{
+    if (!b.unsettled)
+        return;
+    b.unsettled = false;
+    std::erase_if(b.pending, [&](const operation& op)
+                  { return settle_operation(writer, b, op, now); });
+}
+
+bool same_attempt(const operation& op, const attempt_id& id)
+{
+    return op.entry.attempt.number == id.number && op.entry.attempt == id;
+}
+
+// Returns true if an operation of this kind and attempt waits already.
+bool is_queued(const bucket& b, const attempt_id& id, bool claim)
+{
+    const auto same = [&](const operation& op)
+    {
+        return op.claim == claim && same_attempt(op, id);
+    };
+    return std::ranges::any_of(b.pending, same) ||
+           std::ranges::any_of(b.staged.operations, same);
+}
+
+void enqueue(bucket_writer& writer, bucket& b, operation op)
+{
+    b.pending.push_back(std::move(op));
+    b.unsettled = true;
+    ++writer.operations;
+}
+
+operation finish_operation(const claim_finish& finish, time_point now)
+{
+    claim_entry entry{finish.key,   0, finish.attempt,
+                      finish.state, 0, finish.response};
+    return {false, std::move(entry), now};
+}
+
+// Handles the answer of a claim's owner while the store shows the claim.
+void learn_state(bucket_writer& writer, bucket& b, const attempt_state& state,
+                 time_point now)
+{
+    claim_finish finish{state.attempt, state.bucket, state.key,
+                        claim_state::unknown, state.response};
+    switch (state.phase)
+    {
+    case attempt_phase::claiming:
+        // The grant was lost.
+        reply(writer, state.attempt, claim_outcome::granted);
+        return;
+    case attempt_phase::completed:
+        finish.state = claim_state::completed;
+        break;
+    case attempt_phase::abandoned:
+    case attempt_phase::not_run:
+        finish.state = claim_state::not_run;
+        break;
+    case attempt_phase::outcome_unknown:
+        break;
+    case attempt_phase::granted:
+    case attempt_phase::dispatched:
+    case attempt_phase::unknown_to_me:
+        return;
+    }
+    if (!is_queued(b, state.attempt, false))
+        enqueue(writer, b, finish_operation(finish, now));
+}
+
+// Answers a blocked claim, or makes it pending again if the key may be free.
+void unblock(bucket_writer& writer, bucket& b, blocked_claim claim,
+             const attempt_state& state)
+{
+    const attempt_id id = claim.op.entry.attempt;
+    switch (state.phase)
+    {
+    case attempt_phase::completed:
+        reply(writer, id, claim_outcome::replay, state.response);
+        return;
+    case attempt_phase::claiming:
+    case attempt_phase::granted:
+    case attempt_phase::dispatched:
+        reply(writer, id, claim_outcome::in_flight);
+        return;
+    case attempt_phase::outcome_unknown:
+    case attempt_phase::unknown_to_me:
+        reply(writer, id, claim_outcome::unknown);
+        return;
+    case attempt_phase::abandoned:
+    case attempt_phase::not_run:
+        b.pending.push_back(std::move(claim.op));
+        return;
+    }
+}
+
+// Removes the claims that match from blocked and returns them.
+template <typename Predicate>
+std::vector<blocked_claim> take_blocked(bucket& b, Predicate matches)
+{
+    const auto kept =
+        std::ranges::stable_partition(b.blocked, std::not_fn(matches));
+    std::vector<blocked_claim> taken(std::move_iterator(kept.begin()),
+                                     std::move_iterator(kept.end()));
+    b.blocked.erase(kept.begin(), kept.end());
+    return taken;
+}
+
+void drop_expired(bucket_writer& writer, bucket& b, time_point now)
+{
+    const auto expired = [&](const blocked_claim& it)
+    {
+        return it.deadline <= now;
+    };
+    for (const auto& it : take_blocked(b, expired))
+        reply(writer, it.op.entry.attempt, claim_outcome::unknown);
+    std::erase_if(
+        b.pending, [&](const operation& op)
+        { return op.claim && op.arrived + writer.settings.claim_wait <= now; });
+}
+
+void forget_idle(bucket_writer& writer, time_point now)
+{
+    std::erase_if(writer.buckets,
+                  [&](const auto& it)
+                  {
+                      const bucket& b = it.second;
+                      const bool resting = b.phase == bucket_phase::unloaded ||
+                                           b.phase == bucket_phase::ready;
+                      return resting && !writer.assigned.contains(it.first) &&
+                             b.pending.empty() && b.blocked.empty() &&
+                             !b.deleting &&
+                             b.used_at + writer.settings.idle_wait <= now;
+                  });
+}
+
+void check_settings(const writer_settings& settings)
+{
+    // One entry with the largest response has to fit several times.
+    if (settings.segment_bytes < 16 * 1024 ||
+        settings.segment_bytes > store::max_value_bytes)
+        throw config_error("claim segment size " +
+                           std::to_string(settings.segment_bytes) +
+                           " is not between 16384 and " +
+                           std::to_string(store::max_value_bytes) + " bytes");
+    if (!(settings.write_rate > 0) || !(settings.write_burst >= 1))
+        throw config_error("claim_write_rate must be above 0 and its burst at "
+                           "least 1");
+    if (settings.max_reads == 0 || settings.max_operations == 0)
+        throw config_error("a claim writer needs at least one read in flight "
+                           "and one queued operation");
+}
+
+} // namespace
+
+bucket_writer make_writer(const writer_settings& settings)
+{
+    check_settings(settings);
+    bucket_writer writer;
+    writer.settings = settings;
+    writer.writes_allowed = settings.write_burst;
+    return writer;
+}
+
+void assign(bucket_writer& writer, std::span<const std::uint32_t> buckets)
+{
+    writer.assigned = {buckets.begin(), buckets.end()};
+    std::ranges::for_each(buckets, [&](std::uint32_t n)
+                          { writer.buckets[n].number = n; });
+}
+
+void receive(bucket_writer& writer, const claim_request& request,
+             time_point now)
+{
+    bucket& b = use_bucket(writer, request.bucket, now);
+    const auto blocked =
+        std::ranges::find_if(b.blocked, [&](const blocked_claim& it)
+                             { return same_attempt(it.op, request.attempt); });
+    if (blocked != b.blocked.end())
+    {
+        query_owner(writer, b, *blocked);
+        return;
+    }
+    if (is_queued(b, request.attempt, true))
+        return;
+    if (writer.operations >= writer.settings.max_operations)
+    {
+        reply(writer, request.attempt, claim_outcome::refused);
+        return;
+    }
+    claim_entry entry{request.key,
+                      request.body_hash,
+                      request.attempt,
+                      claim_state::claimed,
+                      0,
+                      {}};
+    enqueue(writer, b, {true, std::move(entry), now});
+}
+
+void receive(bucket_writer& writer, const claim_finish& finish, time_point now)
+{
+    bucket& b = use_bucket(writer, finish.bucket, now);
+    // A claim that waits while its owner reports the end is a late duplicate.
+    std::erase_if(b.pending, [&](const operation& op)
+                  { return op.claim && same_attempt(op, finish.attempt); });
+    if (is_queued(b, finish.attempt, false) ||
+        writer.operations >= writer.settings.max_operations)
+        return;
+    enqueue(writer, b, finish_operation(finish, now));
+}
+
+void receive(bucket_writer& writer, const attempt_state& state, time_point now)
+{
+    const auto found = writer.buckets.find(state.bucket);
+    if (found == writer.buckets.end())
+        return;
+    bucket& b = found->second;
+    const auto* existing = find_entry(b, state.key);
+    const bool held = existing != nullptr &&
+                      existing->attempt == state.attempt &&
+                      existing->state == claim_state::claimed;
+    if (held)
+        learn_state(writer, b, state, now);
+    const auto waits = [&](const blocked_claim& it)
+    {
+        return it.owner == state.attempt && it.op.entry.key == state.key;
+    };
+    for (auto& it : take_blocked(b, waits))
+        unblock(writer, b, std::move(it), state);
+    b.unsettled = true;
+}
+
+void recheck_blocked(bucket& b)
+{
+    const auto changed = [&](const blocked_claim& it)
+    {
+        const auto* existing = find_entry(b, it.op.entry.key);
+        return decide(existing, it.op) != decision::ask_owner ||
+               existing->attempt != it.owner;
+    };
+    for (auto& it : take_blocked(b, changed))
+        b.pending.push_back(std::move(it.op));
+    b.unsettled = true;
+}
+
+void answer_committed(bucket_writer& writer, bucket& b,
+                      const std::vector<operation>& operations)
+{
+    // An operation that a later one of the same write replaced gets the answer
+    // that the newest entry gives.
+    for (const auto& op : operations)
+    {
+        const auto* existing = find_entry(b, op.entry.key);
+        const decision d = decide(existing, op);
+        reply(writer, op.entry.attempt, outcome_of(d),
+              d == decision::replay ? existing->response : kept_response{});
+    }
+    recheck_blocked(b);
+}
+
+writer_actions advance(bucket_writer& writer, time_point now, wall_time wall)
+{
+    writer.operations = 0;
+    for (auto& [number, b] : writer.buckets)
+    {
+        drop_expired(writer, b, now);
+        const bool loaded = b.phase >= bucket_phase::ready;
+        if (loaded)
+            settle(writer, b, now);
+        writer.operations +=
+            b.pending.size() + b.blocked.size() + b.staged.operations.size();
+    }
+    writer_actions actions;
+    start_reads(writer, now, actions.calls);
+    start_writes(writer, now, wall, actions.calls);
+    forget_idle(writer, now);
+    actions.messages = std::move(writer.messages);
+    writer.messages.clear();
+    return actions;
+}
+
+} // namespace parsleyplank::claims
--- a/src/claims/segment.hpp
+++ b/src/claims/segment.hpp
@@ -16,6 +16,7 @@
 #include <parsleyplank/claims/message.hpp>
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,12 +85,17 @@
 // Returns the number of bytes that the entry takes in a segment.
 std::size_t packed_size(const claim_entry& entry);
 
-// Largest size in bytes of a head without its entries.
+// Returns a bound in bytes for the head without its entries.
 std::size_t head_overhead(const bucket_head& head);
 
-// Returns the value to store. Throws error if it exceeds the store's limit.
+// Returns the value to store: the head with these entries in place of
+// head.current.entries. Throws error if it exceeds the store's limit.
+std::string encode_head(const bucket_head& head,
+                        std::span<const claim_entry* const> entries);
 std::string encode_head(const bucket_head& head);
-std::string encode_sealed(const segment& current);
+
+// Returns the sealed copy of a current segment, with the same exception.
+std::string encode_sealed(segment current);
 
 // Returns the decoded value. Throws codec_error naming the key.
 bucket_head decode_head(std::string_view value, std::string_view key);
--- /dev/null
+++ b/test/failure/claims_schedules.cpp
@@ -0,0 +1,265 @@
+// Guards the promise that an order runs at most once and that "not run" is
+// true, against kills, pauses, replaced writers, store outages, lost and late
+// store writes, and lost, repeated and late peer messages.
+
+#include "support/claims_cluster.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <array>
+
+using namespace parsleyplank;
+using namespace parsleyplank::test;
+
+namespace
+{
+
+// Faults that hit between two steps.
+enum class hit
+{
+    kill_owner,
+    kill_writer,
+    pause_owner,
+    pause_writer,
+    pause_owner_long,
+    replace_writer,
+    write_unavailable,
+    write_lost,
+    write_response_lost,
+    write_late,
+    messages_lost,
+    count
+};
+
+constexpr std::array write_faults{
+    std::pair(hit::write_unavailable, store_fault::unavailable),
+    std::pair(hit::write_lost, store_fault::lost_request),
+    std::pair(hit::write_response_lost, store_fault::lost_response),
+    std::pair(hit::write_late, store_fault::late)};
+
+constexpr std::size_t owner = 0;
+
+void strike(claims_cluster& cluster, hit what, std::size_t writer,
+            store_fault& fault)
+{
+    const auto other = 3 - writer; // neither the owner nor the writer
+    for (const auto& [kind, value] : write_faults)
+        if (kind == what)
+            fault = value;
+    if (what == hit::kill_owner)
+        cluster.kill(owner);
+    else if (what == hit::kill_writer)
+        cluster.kill(writer);
+    else if (what == hit::pause_owner)
+        cluster.pause(owner, milliseconds(700));
+    else if (what == hit::pause_owner_long)
+        cluster.pause(owner, milliseconds(9'000));
+    else if (what == hit::pause_writer)
+        cluster.pause(writer, milliseconds(3'000));
+    else if (what == hit::replace_writer)
+        for (auto& it : cluster.nodes)
+            if (it.id != cluster.ids[writer])
+                it.live = {cluster.ids[other]};
+    if (what == hit::messages_lost)
+        cluster.settings.loss = 1;
+}
+
+// Returns a key whose bucket this instance writes.
+std::string key_written_by(const claims_cluster& cluster, std::size_t writer)
+{
+    for (int n = 0;; ++n)
+        if (const auto key = "order-" + std::to_string(n);
+            cluster.writer_index(key) == writer)
+            return key;
+}
+
+// Sends one order, hits at one or two steps, repeats the order through other
+// instances during the fault and after it. Returns the steps of the run.
+std::size_t run_with_hits(hit first, std::size_t first_step, hit second,
+                          std::size_t second_step, std::size_t writer)
+{
+    cluster_settings settings;
+    settings.buckets = 64;
+    claims_cluster cluster(settings);
+    const auto key = key_written_by(cluster, writer);
+    auto fault = store_fault::none;
+    cluster.fault_of_call = [&](const claims::store_call& call)
+    {
+        return call.what == claims::store_call::kind::write ? fault
+                                                            : store_fault::none;
+    };
+    cluster.before_step = [&](std::size_t step)
+    {
+        if (step == first_step)
+            strike(cluster, first, writer, fault);
+        if (step == second_step)
+            strike(cluster, second, writer, fault);
+    };
+    cluster.submit(owner, key, "body");
+    cluster.run_for(milliseconds(300));
+    cluster.submit(2, key, "body");
+    cluster.run_for(milliseconds(2'300));
+    cluster.submit(1, key, "body");
+    cluster.run_for(milliseconds(400));
+    cluster.before_step = nullptr;
+    fault = store_fault::none;
+    cluster.settings.loss = 0;
+    cluster.run_for(milliseconds(9'000));
+    cluster.submit(2, key, "body");
+    const auto fresh =
+        cluster.submit(1, "fresh-" + std::to_string(writer), "body");
+    cluster.run_for(milliseconds(3'000));
+    const auto steps = cluster.steps;
+    const auto name = "hits " + std::to_string(static_cast<int>(first)) +
+                      " at " + std::to_string(first_step) + ", " +
+                      std::to_string(static_cast<int>(second)) + " at " +
+                      std::to_string(second_step) + ": ";
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string(), cluster.violation());
+    CPPUNIT_ASSERT_MESSAGE(name + "a fresh key does not run",
+                           cluster.requests[fresh].outcome ==
+                               run_outcome::result);
+    return steps;
+}
+
+class claims_schedules : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(claims_schedules);
+    CPPUNIT_TEST(one_hit_at_every_step);
+    CPPUNIT_TEST(two_hits_at_every_pair_of_early_steps);
+    CPPUNIT_TEST(random_schedules);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Steps up to the stored result of a run without faults, and a margin.
+    static constexpr std::size_t last_step = 40;
+
+public:
+    void one_hit_at_every_step()
+    {
+        for (std::size_t writer = 1; writer <= 2; ++writer)
+            for (int kind = 0; kind < static_cast<int>(hit::count); ++kind)
+                for (std::size_t step = 1; step <= last_step; ++step)
+                    run_with_hits(static_cast<hit>(kind), step, hit::count, 0,
+                                  writer);
+    }
+
+    void two_hits_at_every_pair_of_early_steps()
+    {
+        for (int a = 0; a < static_cast<int>(hit::count); ++a)
+            for (int b = 0; b < static_cast<int>(hit::count); ++b)
+                for (std::size_t step = 1; step <= 12; ++step)
+                    for (std::size_t later = 1; later <= 8; later += 2)
+                        run_with_hits(static_cast<hit>(a), step,
+                                      static_cast<hit>(b), step + later, 1);
+    }
+
+    void random_schedules()
+    {
+        for (std::uint64_t seed = 1; seed <= 300; ++seed)
+            run_random(seed);
+    }
+
+private:
+    static store_fault random_fault(claims_cluster& cluster,
+                                    const claims::store_call& call, bool down)
+    {
+        if (down)
+            return store_fault::unavailable;
+        if (cluster.random() % 4 != 0)
+            return store_fault::none;
+        constexpr std::array faults{
+            store_fault::unavailable, store_fault::lost_request,
+            store_fault::lost_response, store_fault::late};
+        const bool read = call.what == claims::store_call::kind::read;
+        return read ? store_fault::stale : faults[cluster.random() % 4];
+    }
+
+    static backend_fault random_backend_fault(claims_cluster& cluster)
+    {
+        constexpr std::array faults{
+            backend_fault::none,        backend_fault::none,
+            backend_fault::none,        backend_fault::refused,
+            backend_fault::lost_before, backend_fault::lost_after};
+        return faults[cluster.random() % faults.size()];
+    }
+
+    static void disturb(claims_cluster& cluster, bool& down)
+    {
+        const auto node = cluster.random() % cluster.nodes.size();
+        const auto other = cluster.random() % cluster.nodes.size();
+        switch (cluster.random() % 12)
+        {
+        case 0:
+            cluster.kill(node);
+            break;
+        case 1:
+            cluster.pause(node, milliseconds(cluster.random() % 6'000));
+            break;
+        case 2:
+            cluster.nodes[node].live = {cluster.ids[other]};
+            break;
+        case 3:
+            cluster.nodes[node].live = cluster.ids;
+            break;
+        case 4:
+            down = !down;
+            break;
+        default:
+            break;
+        }
+    }
+
+    // Small segments and a short retention seal and retire many segments; keys
+    // are used for less time than the retention.
+    static cluster_settings random_settings(std::uint64_t seed)
+    {
+        cluster_settings settings;
+        settings.instances = 4;
+        settings.seed = seed;
+        settings.loss = 0.1;
+        settings.duplicate = 0.1;
+        settings.slow = 0.1;
+        settings.response_size = seed % 2 == 0 ? 3'000 : 0;
+        settings.writer.segment_bytes = 16 * 1024;
+        settings.writer.retention = std::chrono::seconds(30);
+        return settings;
+    }
+
+    static void run_random(std::uint64_t seed)
+    {
+        claims_cluster cluster(random_settings(seed));
+        bool down = false;
+        cluster.fault_of_call = [&](const claims::store_call& call)
+        {
+            return random_fault(cluster, call, down);
+        };
+        cluster.fault_of_backend = [&](const std::string&)
+        {
+            return random_backend_fault(cluster);
+        };
+        for (int n = 0; n < 60; ++n)
+        {
+            const auto key = "order-" + std::to_string(n / 6) + "-" +
+                             std::to_string(cluster.random() % 3);
+            const auto body = cluster.random() % 8 == 0 ? "other body" : "body";
+            cluster.submit(cluster.random() % 4, key, body);
+            disturb(cluster, down);
+            cluster.run_for(milliseconds(cluster.random() % 400));
+        }
+        down = false;
+        cluster.fault_of_call = nullptr;
+        cluster.fault_of_backend = nullptr;
+        cluster.settings.loss = 0;
+        cluster.run_for(milliseconds(12'000));
+        const auto fresh = cluster.submit(0, "fresh", "body");
+        cluster.run_for(milliseconds(3'000));
+        const auto name = "seed " + std::to_string(seed);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, std::string(), cluster.violation());
+        CPPUNIT_ASSERT_MESSAGE(name + ": a fresh key does not run",
+                               cluster.requests[fresh].outcome ==
+                                   run_outcome::result);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(claims_schedules);
+
+} // namespace
--- /dev/null
+++ b/test/support/claims_cluster.hpp
@@ -0,0 +1,478 @@
+#ifndef PARSLEYPLANK_TEST_SUPPORT_CLAIMS_CLUSTER_HPP
+#define PARSLEYPLANK_TEST_SUPPORT_CLAIMS_CLUSTER_HPP
+
+// Several instances with claims, one fake store, a fake backend server that
+// counts executions, and a lossy network, in simulated time on one thread. All
+// delays and faults come from the seed or from the test.
+
+#include "support/claims_store.hpp"
+#include <parsleyplank/claims/attempt.hpp>
+#include <parsleyplank/claims/bucket_writer.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace parsleyplank::test
+{
+
+enum class backend_fault
+{
+    none,
+    refused,     // X-Not-Run, or the connection was refused
+    lost_before, // connection broken, the request did not run
+    lost_after   // connection broken, the request ran
+};
+
+struct cluster_settings
+{
+    std::size_t instances = 3;
+    std::uint32_t buckets = 2;
+    std::uint64_t seed = 1;
+    milliseconds peer_latency{2};
+    milliseconds store_latency{2};
+    milliseconds backend_time{20};
+    milliseconds late_effect{4'000};
+    milliseconds tick{25};
+    // Probability per peer message; slow ones take up to 5 s.
+    double loss = 0;
+    double duplicate = 0;
+    double slow = 0;
+    // Bytes of a response.
+    std::size_t response_size = 0;
+    claims::attempt_settings attempts;
+    claims::writer_settings writer;
+};
+
+// One request of a caller and what it was told.
+struct caller_request
+{
+    std::string key;
+    std::string body;
+    time_point sent;
+    claims::attempt_id attempt;
+    bool answered = false;
+    time_point answered_at;
+    run_outcome outcome = run_outcome::unknown;
+    std::string reason;
+    claims::kept_response response;
+};
+
+struct claims_node
+{
+    instance_id id;
+    incarnation life;
+    bool paused = false;
+    claims::attempt_table table;
+    claims::bucket_writer writer;
+    // Instances that it believes to be live.
+    std::vector<instance_id> live;
+    std::vector<std::function<void(claims_node&)>> held;
+    std::map<std::uint64_t, std::size_t> callers;
+};
+
+class claims_cluster
+{
+public:
+    using action = std::function<void(claims_node&)>;
+
+    explicit claims_cluster(cluster_settings s)
+        : settings(std::move(s)), nodes(settings.instances),
+          random(settings.seed)
+    {
+        for (std::size_t n = 0; n < settings.instances; ++n)
+            ids.emplace_back("entry-" + std::to_string(n + 1));
+        for (std::size_t n = 0; n < settings.instances; ++n)
+        {
+            nodes[n].id = ids[n];
+            kill(n);
+        }
+        tick();
+    }
+
+    // Sends a request to an instance; returns its index in requests.
+    std::size_t submit(std::size_t node, const std::string& key,
+                       const std::string& body)
+    {
+        const auto n = requests.size();
+        requests.push_back({});
+        requests[n].key = key;
+        requests[n].body = body;
+        requests[n].sent = now;
+        post(node, milliseconds(0),
+             [this, n](claims_node& it) { begin(it, n); });
+        return n;
+    }
+
+    void run_for(milliseconds time)
+    {
+        const auto end = now + time;
+        while (events.top().at <= end)
+        {
+            const auto next = events.top();
+            events.pop();
+            now = next.at;
+            next.run();
+        }
+        now = end;
+    }
+
+    // Replaces the instance by a new incarnation that knows nothing.
+    void kill(std::size_t node)
+    {
+        auto& it = nodes[node];
+        const incarnation life(it.life.value + 1);
+        it = {};
+        it.id = ids[node];
+        it.life = life;
+        it.table.self = it.id;
+        it.table.life = it.life;
+        it.table.settings = settings.attempts;
+        it.writer = claims::make_writer(settings.writer);
+        it.live = ids;
+    }
+
+    // What arrives meanwhile is handled on resume.
+    void pause(std::size_t node, milliseconds time)
+    {
+        nodes[node].paused = true;
+        at(time,
+           [this, node]
+           {
+               nodes[node].paused = false;
+               for (const auto& run : std::exchange(nodes[node].held, {}))
+                   run_action(node, run);
+           });
+    }
+
+    std::uint32_t bucket(const std::string& key) const
+    {
+        return claims::bucket_of(hash(key), settings.buckets);
+    }
+
+    std::size_t writer_index(const std::string& key) const
+    {
+        return index_of(*claims::writer_of(bucket(key), ids));
+    }
+
+    int runs(const std::string& key) const
+    {
+        const auto it = runs_by_key.find(key);
+        return it == runs_by_key.end() ? 0 : it->second;
+    }
+
+    // Describes the first violated promise, or returns an empty string.
+    std::string violation() const
+    {
+        for (const auto& [key, n] : runs_by_key)
+            if (n > 1)
+                return key + " ran " + std::to_string(n) + " times";
+        for (const auto& it : requests)
+        {
+            if (!it.answered || it.outcome == run_outcome::unknown)
+                continue;
+            const bool result = it.outcome == run_outcome::result;
+            if (!result && runs_by_attempt.contains(it.attempt))
+                return it.key + " ran although the answer was not-run";
+            if (result && (runs(it.key) != 1 ||
+                           !it.response.body.starts_with("done " + it.key)))
+                return it.key + " got a result that is not its own";
+        }
+        return {};
+    }
+
+    cluster_settings settings;
+    time_point now{std::chrono::hours(1)};
+    std::vector<instance_id> ids;
+    std::vector<claims_node> nodes;
+    std::vector<caller_request> requests;
+    claims_store store;
+    std::mt19937_64 random;
+    // Called before each step of an instance, the store or the backend server.
+    std::size_t steps = 0;
+    std::function<void(std::size_t)> before_step;
+    std::function<store_fault(const claims::store_call&)> fault_of_call;
+    std::function<backend_fault(const std::string&)> fault_of_backend;
+
+private:
+    struct event
+    {
+        time_point at;
+        std::uint64_t order;
+        std::function<void()> run;
+
+        bool operator<(const event& other) const
+        {
+            return std::pair(at, order) > std::pair(other.at, other.order);
+        }
+    };
+
+    void at(milliseconds delay, std::function<void()> run)
+    {
+        events.push({now + delay, next_order++, std::move(run)});
+    }
+
+    bool chance(double p)
+    {
+        return p > 0 && std::uniform_real_distribution<>(0, 1)(random) < p;
+    }
+
+    void step()
+    {
+        ++steps;
+        if (before_step)
+            before_step(steps);
+    }
+
+    std::size_t index_of(const instance_id& id) const
+    {
+        return std::ranges::find(ids, id) - ids.begin();
+    }
+
+    void run_action(std::size_t node, const action& run)
+    {
+        auto& it = nodes[node];
+        const auto life = it.life;
+        if (!it.paused)
+            step();
+        if (it.life != life)
+            return;
+        if (it.paused)
+        {
+            it.held.push_back(run);
+            return;
+        }
+        run(it);
+        pump(it);
+    }
+
+    // Runs the action on the instance unless it is replaced before.
+    void post(std::size_t node, milliseconds delay, action run)
+    {
+        at(delay,
+           [this, node, life = nodes[node].life, run = std::move(run)]
+           {
+               if (nodes[node].life == life)
+                   run_action(node, run);
+           });
+    }
+
+    void tick()
+    {
+        for (auto& it : nodes)
+            if (!it.paused)
+                pump(it);
+        at(settings.tick, [this] { tick(); });
+    }
+
+    void pump(claims_node& it)
+    {
+        const auto actions = claims::advance(it.table, now);
+        for (const auto& event : actions.events)
+            handle(it, event);
+        for (const auto& request : actions.requests)
+            to_writer(it, request);
+        for (const auto& finish : actions.finishes)
+            to_writer(it, finish);
+        const auto wanted =
+            claims::advance(it.writer, now, wall_time(now.time_since_epoch()));
+        // A call is built in one step and sent in another.
+        for (const auto& call : wanted.calls)
+            post(index_of(it.id), milliseconds(0),
+                 [this, call](claims_node& node) { send_call(node, call); });
+        for (const auto& [to, batch] : wanted.messages)
+            send(it, to, batch);
+    }
+
+    template <typename Message>
+    void to_writer(claims_node& it, const Message& message)
+    {
+        claims::claim_batch batch;
+        if constexpr (std::is_same_v<Message, claims::claim_request>)
+            batch.requests = {message};
+        else
+            batch.finishes = {message};
+        send(it, *claims::writer_of(message.bucket, it.live), batch);
+    }
+
+    // Peer messages go to an address: a restarted instance receives those that
+    // were sent to its earlier incarnation.
+    void send(const claims_node& from, const instance_id& to,
+              const claims::claim_batch& batch)
+    {
+        const action run =
+            [this, sender = from.id, bytes = pack_value(batch)](claims_node& it)
+        {
+            deliver(it, sender,
+                    unpack_value<claims::claim_batch>(bytes, "peer"));
+        };
+        const int copies = chance(settings.loss)        ? 0
+                           : chance(settings.duplicate) ? 2
+                                                        : 1;
+        for (int n = 0; n < copies; ++n)
+            at(chance(settings.slow) ? milliseconds(random() % 5'000)
+                                     : settings.peer_latency,
+               [this, node = index_of(to), run] { run_action(node, run); });
+    }
+
+    void deliver(claims_node& it, const instance_id& sender,
+                 const claims::claim_batch& batch)
+    {
+        for (const auto& message : batch.requests)
+            claims::receive(it.writer, message, now);
+        for (const auto& message : batch.finishes)
+            claims::receive(it.writer, message, now);
+        for (const auto& message : batch.states)
+            claims::receive(it.writer, message, now);
+        for (const auto& message : batch.replies)
+            handle(it, claims::receive(it.table, message, now));
+        claims::claim_batch answer;
+        for (const auto& message : batch.queries)
+            answer.states.push_back(claims::answer_query(it.table, message));
+        if (!answer.states.empty())
+            send(it, sender, answer);
+    }
+
+    void begin(claims_node& it, std::size_t n)
+    {
+        const auto& key = requests[n].key;
+        const auto request = claims::begin_attempt(
+            it.table, bucket(key), hash(key), hash64(requests[n].body), now);
+        if (!request)
+        {
+            tell(n, run_outcome::not_run, "no_capacity", {});
+            return;
+        }
+        requests[n].attempt = request->attempt;
+        it.callers[request->attempt.number] = n;
+        to_writer(it, *request);
+    }
+
+    void handle(claims_node& it, const claims::attempt_event& event)
+    {
+        using kind = claims::attempt_event::kind;
+        if (event.release)
+            to_writer(it, *event.release);
+        if (event.what == kind::answer)
+            tell(it.callers.at(event.number), event.outcome,
+                 event.reason ? std::string(to_string(*event.reason)) : "",
+                 event.response);
+        if (event.what == kind::dispatch)
+            post(index_of(it.id), milliseconds(0),
+                 [this, number = event.number](claims_node& node)
+                 { dispatch(node, number); });
+    }
+
+    void dispatch(claims_node& it, std::uint64_t number)
+    {
+        if (!claims::start_dispatch(it.table, number, now))
+            return;
+        const auto n = it.callers.at(number);
+        const auto fault = fault_of_backend ? fault_of_backend(requests[n].key)
+                                            : backend_fault::none;
+        if (fault == backend_fault::none || fault == backend_fault::lost_after)
+            at(settings.backend_time / 2,
+               [this, n]
+               {
+                   step();
+                   ++runs_by_key[requests[n].key];
+                   ++runs_by_attempt[requests[n].attempt];
+               });
+        post(index_of(it.id), settings.backend_time,
+             [this, number, fault](claims_node& node)
+             { end(node, number, fault); });
+    }
+
+    void end(claims_node& it, std::uint64_t number, backend_fault fault)
+    {
+        using claims::attempt_phase;
+        const auto n = it.callers.at(number);
+        std::string body = "done " + requests[n].key;
+        body.resize(std::max(body.size(), settings.response_size), '.');
+        auto phase = attempt_phase::outcome_unknown;
+        if (fault == backend_fault::none)
+            phase = attempt_phase::completed;
+        else if (fault == backend_fault::refused)
+            phase = attempt_phase::not_run;
+        if (const auto finish =
+                claims::finish_attempt(it.table, number, phase, 201, body, now))
+            to_writer(it, *finish);
+        if (fault == backend_fault::none)
+            tell(n, run_outcome::result, "", {201, false, body});
+        else if (fault == backend_fault::refused)
+            tell(n, run_outcome::not_run, "backend_shed", {});
+        else
+            tell(n, run_outcome::unknown, "backend_failed", {});
+    }
+
+    void tell(std::size_t n, run_outcome outcome, const std::string& reason,
+              const claims::kept_response& response)
+    {
+        auto& it = requests[n];
+        it.answered = true;
+        it.answered_at = now;
+        it.outcome = outcome;
+        it.reason = reason;
+        it.response = response;
+    }
+
+    void send_call(const claims_node& it, const claims::store_call& call)
+    {
+        const auto fault =
+            fault_of_call ? fault_of_call(call) : store_fault::none;
+        const bool read = call.what == claims::store_call::kind::read;
+        const auto node = index_of(it.id);
+        const auto reply =
+            [this, node, life = it.life](milliseconds delay,
+                                         const claims::store_outcome& outcome)
+        {
+            if (nodes[node].life == life)
+                post(node, delay,
+                     [this, outcome](claims_node& owner)
+                     { claims::receive(owner.writer, outcome, now); });
+        };
+        const bool known =
+            fault == store_fault::none || fault == store_fault::stale;
+        const bool effect =
+            known || (!read && (fault == store_fault::lost_response ||
+                                fault == store_fault::late));
+        if (effect)
+            at(fault == store_fault::late ? settings.late_effect
+                                          : settings.store_latency,
+               [this, call, reply, known, fault]
+               {
+                   step();
+                   const auto outcome =
+                       apply(store, call, fault == store_fault::stale);
+                   if (known)
+                       reply(settings.store_latency, outcome);
+               });
+        using kind = claims::store_outcome::kind;
+        if (!known)
+            reply(2 * settings.store_latency,
+                  {call.id,
+                   read || fault == store_fault::unavailable ? kind::unavailable
+                                                             : kind::unknown,
+                   {},
+                   {}});
+    }
+
+    static hash128_value hash(const std::string& key)
+    {
+        return claims::key_hash(customer_id("shop"), route_id("ordre"), key);
+    }
+
+    std::priority_queue<event> events;
+    std::uint64_t next_order = 0;
+    std::map<std::string, int> runs_by_key;
+    std::map<claims::attempt_id, int> runs_by_attempt;
+};
+
+} // namespace parsleyplank::test
+
+#endif
