--- a/src/peer/message.cpp
+++ b/src/peer/message.cpp
@@ -19,11 +19,7 @@
     std::pair(message_kind::loan_request, "loan_request"),
     std::pair(message_kind::loan_grant, "loan_grant"),
     std::pair(message_kind::loan_return, "loan_return"),
-    std::pair(message_kind::claim_request, "claim_request"),
-    std::pair(message_kind::claim_reply, "claim_reply"),
-    std::pair(message_kind::claim_finish, "claim_finish"),
-    std::pair(message_kind::attempt_query, "attempt_query"),
-    std::pair(message_kind::attempt_state, "attempt_state"),
+    std::pair(message_kind::claim_batch, "claim_batch"),
     std::pair(message_kind::rollout_brake, "rollout_brake")};
 
 constexpr std::string_view unknown_kind = "unknown_kind";
--- a/src/peer/message.hpp
+++ b/src/peer/message.hpp
@@ -25,12 +25,8 @@
     loan_request = 6,
     loan_grant = 7,
     loan_return = 8,
-    claim_request = 9,
-    claim_reply = 10,
-    claim_finish = 11,
-    attempt_query = 12,
-    attempt_state = 13,
-    rollout_brake = 14
+    claim_batch = 9,
+    rollout_brake = 10
 };
 
 // Returns the name used in logs and metrics, e.g. "loan_grant".
