--- a/src/entry/state_feed.cpp
+++ b/src/entry/state_feed.cpp
@@ -78,22 +78,18 @@
     return number;
 }
 
-void take_parts(state_feed& feed,
-                const std::map<config::part_digest, std::string>& parts)
+void take_parts(state_feed& feed, const config::part_map& parts)
 {
-    std::ranges::for_each(
-        parts, [&](const auto& it)
-        { config::offer_part(feed.config, it.first, it.second); });
+    config::offer_parts(feed.config, parts);
     adopt_if_complete(feed);
 }
 
 // Reads the parts on a store thread. What could not be read is left out and is
 // asked for again.
-std::map<config::part_digest, std::string>
-read_parts(store::kv_store& store,
-           const std::vector<config::part_digest>& digests)
+config::part_map read_parts(store::kv_store& store,
+                            const std::vector<config::part_digest>& digests)
 {
-    std::map<config::part_digest, std::string> parts;
+    config::part_map parts;
     try
     {
         std::ranges::for_each(digests,
--- a/src/entry/state_feed.hpp
+++ b/src/entry/state_feed.hpp
@@ -38,7 +38,7 @@
     // Empty if the asking peer holds as much.
     std::string manifest;
     std::string shares;
-    std::map<config::part_digest, std::string> parts;
+    config::part_map parts;
 
     MSGPACK_DEFINE_ARRAY(manifest, shares, parts)
 };
