--- a/src/config/publish.cpp
+++ b/src/config/publish.cpp
@@ -267,7 +267,8 @@
         known = std::move(loaded.parts);
     }
     throw error("parts of the configuration in force are missing from the "
-                "store; publish the whole configuration again");
+                "store; publish all files with "
+                "parsleyplank-publish --rewrite");
 }
 
 bundle load_bundle(store::kv_store& store)
--- a/src/config/service_file.cpp
+++ b/src/config/service_file.cpp
@@ -15,6 +15,14 @@
 namespace
 {
 
+// Adds a problem of a file that is not read as a whole.
+void report_file(collected_files& files, const std::string& place,
+                 const std::string& text)
+{
+    files.complete = false;
+    files.problems.push_back({place, text});
+}
+
 constexpr std::int64_t max_count = 1'000'000;
 constexpr double ppm_per_percent = 10'000;
 // 1 Mbit/s in bytes per second.
@@ -313,8 +321,8 @@
     std::ifstream in(path, std::ios::binary);
     const std::string text{std::istreambuf_iterator<char>(in), {}};
     if (!in.is_open() || in.bad() || std::filesystem::is_directory(path))
-        files.problems.push_back(
-            {path.string(), "can't be read; check the path and permissions"});
+        report_file(files, path.string(),
+                    "can't be read; check the path and permissions");
     else
         add_file(files, path.string(), text);
 }
@@ -329,23 +337,23 @@
         const toml::table root = toml::parse(text, name);
         const bool is_fleet = root.contains("fleet");
         if (is_fleet && files.sources.contains("fleet"))
-            files.problems.push_back(
-                {name, "is a second fleet file, the first is " +
-                           files.sources["fleet"] + "; give only one"});
+            report_file(files, name,
+                        "is a second fleet file, the first is " +
+                            files.sources["fleet"] + "; give only one");
         else if (is_fleet)
             add_fleet_file(files, name, root);
         else if (root.contains("service"))
             add_service_file(files, name, root);
         else
-            files.problems.push_back(
-                {name, "has neither a [fleet] nor a [service] table; add "
-                       "[service] with id = \"...\""});
+            report_file(files, name,
+                        "has neither a [fleet] nor a [service] table; add "
+                        "[service] with id = \"...\"");
     }
     catch (const toml::parse_error& ec)
     {
-        files.problems.push_back(
-            {name + ":" + std::to_string(ec.source().begin.line),
-             std::string(ec.description()) + "; correct the TOML syntax"});
+        report_file(files, name + ":" + std::to_string(ec.source().begin.line),
+                    std::string(ec.description()) +
+                        "; correct the TOML syntax");
     }
 }
 
@@ -361,9 +369,8 @@
             {
                 const auto found = find_files(path);
                 if (found.empty())
-                    files.problems.push_back(
-                        {path.string(),
-                         "holds no fleet.toml and no service.toml"});
+                    report_file(files, path.string(),
+                                "holds no fleet.toml and no service.toml");
                 std::ranges::for_each(
                     found,
                     [&](const std::filesystem::path& file)
@@ -375,21 +382,23 @@
             }
             catch (const std::filesystem::filesystem_error& ec)
             {
-                files.problems.push_back(
-                    {path.string(),
-                     ec.code().message() + "; check the path and permissions"});
+                report_file(files, path.string(),
+                            ec.code().message() +
+                                "; check the path and permissions");
             }
         });
-    if (!files.sources.contains("fleet"))
-        files.problems.push_back(
-            {"fleet", "no file with a [fleet] table was given; add the path of "
-                      "fleet.toml or its folder"});
+    if (files.complete && !files.sources.contains("fleet"))
+        report_file(files, "fleet",
+                    "no file with a [fleet] table was given; add the path of "
+                    "fleet.toml or its folder");
     return files;
 }
 
 std::vector<problem> check_files(const collected_files& files)
 {
     std::vector<problem> all = files.problems;
+    if (!files.complete)
+        return all;
     std::ranges::transform(validate(files.content), std::back_inserter(all),
                            [&](problem v)
                            {
--- a/src/config/service_file.hpp
+++ b/src/config/service_file.hpp
@@ -25,6 +25,9 @@
     std::vector<problem> problems;
     // Item, as problem::item names it, to "file:line".
     std::map<std::string, std::string> sources;
+    // False if a file could not be read as a whole; checks of references
+    // between items would report the items of that file as missing.
+    bool complete = true;
 };
 
 // Adds the contents of one file, which is a fleet file if it has a [fleet]
@@ -38,8 +41,8 @@
 // is not exactly one fleet file.
 collected_files collect_files(std::span<const std::filesystem::path> paths);
 
-// Returns the problems of the files and of the whole bundle, each with its file
-// and line where known.
+// Returns the problems of the files and, if these are complete, of the whole
+// bundle, each with its file and line where known.
 std::vector<problem> check_files(const collected_files& files);
 
 } // namespace parsleyplank::config
--- a/src/lookup/block_table.cpp
+++ b/src/lookup/block_table.cpp
@@ -140,10 +140,9 @@
 
 block_table::block_table(std::vector<block> blocks)
 {
-    const auto v4_end =
-        std::ranges::stable_partition(blocks, [](const block& v)
-                                      { return !v.prefix.first.v6; })
-            .begin();
+    const auto v4_end = std::stable_partition(blocks.begin(), blocks.end(),
+                                              [](const block& v)
+                                              { return !v.prefix.first.v6; });
     const std::vector<block> v6(v4_end, blocks.end());
     blocks.erase(v4_end, blocks.end());
     build(v4, blocks);
--- a/src/lookup/lookup.cpp
+++ b/src/lookup/lookup.cpp
@@ -116,6 +116,14 @@
     ranking.customer = request.customer;
     ranking.spread_key = client;
     response.instances = rank_instances(snapshot.instances, ranking);
+    if (response.instances.empty())
+    {
+        // Neither the region nor its fallbacks have an instance.
+        std::ranges::transform(content.regions,
+                               std::back_inserter(ranking.regions),
+                               &config::region::id);
+        response.instances = rank_instances(snapshot.instances, ranking);
+    }
     return response;
 }
 
