--- a/test/standin/backend/main.cpp
+++ b/test/standin/backend/main.cpp
@@ -4,6 +4,7 @@
 #include "standin/backend/backend_server.hpp"
 
 #include <tclap/CmdLine.h>
+#include <tclap/HelpVisitor.h>
 
 #include <csignal>
 #include <exception>
@@ -14,7 +15,12 @@
 {
     try
     {
-        TCLAP::CmdLine line("Stand-in backend server", ' ', "1");
+        // Without TCLAP's own --version, which is the server's version here.
+        TCLAP::CmdLine line("Stand-in backend server", ' ', "", false);
+        auto* output = line.getOutput();
+        TCLAP::HelpVisitor show_help(&line, &output);
+        const TCLAP::SwitchArg help("h", "help", "prints this text", line,
+                                    false, &show_help);
         const TCLAP::ValueArg<std::string> address(
             "", "address", "IPv4 address to listen on", false, "127.0.0.1",
             "address", line);
@@ -22,8 +28,8 @@
                                         false, 0, "port", line);
         const TCLAP::ValueArg<std::string> server(
             "", "server", "server id", false, "server-1", "id", line);
-        const TCLAP::ValueArg<std::string> version(
-            "", "version-id", "version id", false, "v1", "id", line);
+        const TCLAP::ValueArg<std::string> version("", "version", "version id",
+                                                   false, "v1", "id", line);
         const TCLAP::ValueArg<int> slots(
             "", "slots", "requests served at a time", false, 4, "n", line);
         line.parse(argc, argv);
