--- a/src/dataplane/http_front.cpp
+++ b/src/dataplane/http_front.cpp
@@ -261,6 +261,7 @@
     now.early_requests = core.early_requests;
     now.timeouts = core.timeouts;
     now.body_bytes = core.body_bytes;
+    now.stopping = core.stopping;
     const std::lock_guard lock(core.mutex);
     now.connections = core.connections.size();
     now.outstanding = core.outstanding;
--- a/src/dataplane/http_front.hpp
+++ b/src/dataplane/http_front.hpp
@@ -110,6 +110,7 @@
     std::size_t connections = 0;
     std::size_t outstanding = 0;
     std::size_t body_bytes = 0;
+    bool stopping = false;
 };
 
 class http_front
