--- a/src/quota/customer_pool.cpp
+++ b/src/quota/customer_pool.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace parsleyplank::quota
 {
@@ -225,14 +226,15 @@
     std::ranges::sort(pool.borrowed, {}, &borrowed_loan::end);
 }
 
-void extend_borrowed(customer_pool& pool, const member& lender,
+bool extend_borrowed(customer_pool& pool, const member& lender,
                      std::uint64_t number, time_point end)
 {
     const auto it = find_borrowed(pool, lender, number);
     if (it == pool.borrowed.end())
-        return;
+        return false;
     it->end = std::max(it->end, end);
     std::ranges::sort(pool.borrowed, {}, &borrowed_loan::end);
+    return true;
 }
 
 return_item give_back(customer_pool& pool, const member& lender,
@@ -260,6 +262,13 @@
     return item;
 }
 
+return_item disown(customer_pool& pool, const member& lender,
+                   std::uint64_t number, time_point until)
+{
+    pool.ended.push_back({lender, number, until});
+    return {number, std::numeric_limits<std::uint32_t>::max(), 0, 0, 0};
+}
+
 share_ppm donatable(const customer_pool& pool)
 {
     double lent_part = 0;
--- a/src/quota/customer_pool.hpp
+++ b/src/quota/customer_pool.hpp
@@ -138,8 +138,9 @@
 void accept(customer_pool& pool, const member& lender, const grant_item& item,
             time_point end, time_point now);
 
-// Prolongs a loan that is held; never revives one.
-void extend_borrowed(customer_pool& pool, const member& lender,
+// Prolongs a loan that is held; never revives one. Returns false if the loan is
+// not held.
+bool extend_borrowed(customer_pool& pool, const member& lender,
                      std::uint64_t number, time_point end);
 
 // Gives back the part (0 to 1) of a loan that is held: debits it and returns
@@ -147,6 +148,11 @@
 return_item give_back(customer_pool& pool, const member& lender,
                       std::uint64_t number, double part, time_point now);
 
+// Returns the message that tells the lender that a loan is not held. A grant of
+// that number which arrives before the given time is not accepted any more.
+return_item disown(customer_pool& pool, const member& lender,
+                   std::uint64_t number, time_point until);
+
 // Returns the largest share that the holder can donate without taking back what
 // it has lent.
 share_ppm donatable(const customer_pool& pool);
--- /dev/null
+++ b/src/quota/exchange.cpp
@@ -0,0 +1,320 @@
+#include <parsleyplank/quota/exchange.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleyplank::quota
+{
+
+namespace
+{
+
+// A peer that told nothing for this long is left out of plans.
+constexpr milliseconds need_lifetime{2'500};
+// Longest time without telling a customer's figures.
+constexpr milliseconds tell_interval{1'000};
+// Longest time without any demand message: its number dates loans.
+constexpr milliseconds demand_interval{400};
+constexpr milliseconds ask_lifetime{300};
+constexpr milliseconds ask_interval{25};
+// Loans are extended when less than this part of their duration is left.
+constexpr double extend_below = 0.7;
+// Differences below this part of the lender's home rate are left alone.
+constexpr double dead_band = 0.04;
+// Time of own demand for which a lender keeps tokens, in seconds.
+constexpr double reserve_span = 0.05;
+// Time of missing rate for which a borrower asks tokens, in seconds: a round
+// trip between regions, a tick, and a half more.
+constexpr double ask_span = 0.4;
+constexpr std::size_t peers_per_ask = 5;
+// Smallest number of tokens worth a message.
+constexpr double least_ask = 0.2;
+constexpr std::size_t remembered_numbers = 64;
+
+bool is_recent(const peer_need& need, time_point now)
+{
+    return now - need.heard < need_lifetime;
+}
+
+double home_rate(const quota_state& state, const customer_state& customer,
+                 const member& who)
+{
+    return usable_share(state.table, who).value /
+           static_cast<double>(ppm_total) * customer.pool.limits.rate.value;
+}
+
+double lent_rate(const customer_pool& pool, const member& borrower)
+{
+    double sum = 0;
+    for (const auto& it : pool.lent)
+        if (it.borrower == borrower)
+            sum += it.rate.value;
+    return sum;
+}
+
+// Extends the peer's loans up to the planned rate; the others run out.
+void extend_loans(customer_state& customer, const member& borrower,
+                  double planned, milliseconds duration,
+                  std::vector<extension_item>& extended, time_point now)
+{
+    const double limit =
+        planned * 1.2 + dead_band * customer.pool.home.rate.value;
+    double kept = 0;
+    extension_item item{key_of(customer.pool.limits.customer), {}};
+    for (const auto& it : customer.pool.lent)
+    {
+        if (it.borrower != borrower || it.rate.value <= 0 ||
+            kept + it.rate.value > limit)
+            continue;
+        kept += it.rate.value;
+        if (it.end - now < duration * extend_below)
+            item.loans.push_back(it.number);
+    }
+    std::erase_if(item.loans,
+                  [&](std::uint64_t number) {
+                      return !extend_lent(customer.pool, number, duration, now);
+                  });
+    if (!item.loans.empty())
+        extended.push_back(std::move(item));
+}
+
+void remember(std::deque<sent_number>& sent, std::uint64_t number,
+              time_point now)
+{
+    sent.push_back({number, now});
+    if (sent.size() > remembered_numbers)
+        sent.pop_front();
+}
+
+bool worth_telling(const customer_state& customer, double demand, double spare,
+                   time_point now)
+{
+    const auto& pool = customer.pool;
+    const double home_burst = pool.limits.burst.value * pool.share.value /
+                              static_cast<double>(ppm_total);
+    return now - customer.told >= tell_interval ||
+           std::abs(demand - customer.told_demand) >
+               0.1 * customer.told_demand + 1 ||
+           std::abs(spare - customer.told_spare) >
+               0.3 * customer.told_spare + 0.1 * home_burst;
+}
+
+} // namespace
+
+exchange_round begin_round(const quota_state& state)
+{
+    const auto n = state.peers.size();
+    return {std::vector<loan_grant>(n), std::vector<loan_return>(n),
+            std::vector<loan_request>(n)};
+}
+
+rate_plan plan_rates(const quota_state& state, const customer_state& customer,
+                     time_point now)
+{
+    rate_plan plan;
+    plan.parties.push_back({home_rate(state, customer, state.self),
+                            per_second(customer.estimate)});
+    plan.peers.push_back(0);
+    for (std::size_t i = 0; i < state.peers.size(); ++i)
+    {
+        const auto& who = state.peers[i].who;
+        const auto it = customer.needs.find(who.instance);
+        if (it == customer.needs.end() || !is_recent(it->second, now))
+            continue;
+        plan.parties.push_back(
+            {home_rate(state, customer, who), it->second.demand});
+        plan.peers.push_back(i);
+    }
+    plan.targets = target_rates(plan.parties);
+    return plan;
+}
+
+bool overloaded(const customer_state& customer, time_point now)
+{
+    double demand = per_second(customer.estimate);
+    for (const auto& [id, need] : customer.needs)
+        if (is_recent(need, now))
+            demand += need.demand;
+    return demand > 1.15 * customer.pool.limits.rate.value;
+}
+
+double spare_tokens(const quota_state& state, const customer_state& customer,
+                    time_point now)
+{
+    if (!home_usable(state, now) || state.leaving)
+        return 0;
+    const double reserve = per_second(customer.estimate) * reserve_span +
+                           static_cast<double>(customer.waiting);
+    return std::max(0.0, customer.pool.home.level.value - reserve);
+}
+
+void lend_ahead(quota_state& state, customer_state& customer,
+                const rate_plan& plan, exchange_round& round, time_point now)
+{
+    const auto duration = state.settings.loan_duration;
+    auto& pool = customer.pool;
+    for (std::size_t i = 1; i < plan.parties.size(); ++i)
+    {
+        const auto& peer = state.peers[plan.peers[i]];
+        auto& grant = round.grants[plan.peers[i]];
+        const double planned = planned_loan(plan.parties, plan.targets, 0, i);
+        if (peer.last_demand == 0)
+            continue;
+        if (state.settings.extend_loans)
+            extend_loans(customer, peer.who, planned, duration, grant.extended,
+                         now);
+        const double lent = lent_rate(pool, peer.who);
+        const double missing = std::min(planned - lent, pool.home.rate.value);
+        const double least = plan.parties[0].home * dead_band;
+        if (missing <= (lent > 0 ? least : least / 4))
+            continue;
+        const auto& limits = pool.limits;
+        const loan_terms terms{
+            token_rate(missing), limits.burst * (missing / limits.rate.value),
+            pool.home.level * (missing / pool.home.rate.value)};
+        if (auto item =
+                lend(pool, state.next_loan, peer.who, terms, duration, now))
+        {
+            ++state.next_loan;
+            grant.loans.push_back(*item);
+        }
+    }
+}
+
+void return_surplus(quota_state& state, customer_state& customer,
+                    const rate_plan& plan, exchange_round& round,
+                    time_point now)
+{
+    for (std::size_t i = 1; i < plan.parties.size(); ++i)
+    {
+        const auto lender = state.peers[plan.peers[i]].who;
+        std::vector<std::pair<std::uint64_t, double>> loans;
+        double held = 0;
+        for (const auto& it : customer.pool.borrowed)
+            if (it.lender == lender && it.bucket.rate.value > 0)
+            {
+                loans.emplace_back(it.number, it.bucket.rate.value);
+                held += it.bucket.rate.value;
+            }
+        const double planned = planned_loan(plan.parties, plan.targets, i, 0);
+        double surplus = held - planned;
+        if (surplus <= 0.25 * planned + dead_band * plan.parties[i].home)
+            continue;
+        auto& message = round.returns[plan.peers[i]];
+        message.lender = lender.life;
+        for (const auto& [number, rate] : loans)
+        {
+            if (surplus <= 0)
+                break;
+            const double part = surplus > 0.9 * rate ? 1 : surplus / rate;
+            surplus -= part * rate;
+            message.items.push_back(
+                give_back(customer.pool, lender, number, part, now));
+        }
+    }
+}
+
+void ask_peers(quota_state& state, customer_state& customer,
+               std::uint32_t waiting, exchange_round& round, time_point now)
+{
+    std::erase_if(customer.asks,
+                  [&](const open_ask& it) { return it.until <= now; });
+    if (now < customer.next_ask || !state.settings.ask_on_need)
+        return;
+    const bool usable = home_usable(state, now);
+    const double demand = per_second(customer.estimate);
+    const double lack =
+        std::max(0.0, demand - usable_rate(customer.pool, usable).value);
+    double need = waiting + lack * ask_span + demand * reserve_span -
+                  available(customer.pool, usable).value;
+    for (const auto& it : customer.asks)
+        need -= it.count;
+    std::vector<std::pair<double, std::size_t>> spare;
+    for (std::size_t i = 0; i < state.peers.size(); ++i)
+    {
+        const auto it = customer.needs.find(state.peers[i].who.instance);
+        if (it != customer.needs.end() && is_recent(it->second, now) &&
+            it->second.spare >= least_ask)
+            spare.emplace_back(it->second.spare, i);
+    }
+    std::ranges::sort(spare, std::greater{});
+    spare.resize(std::min(spare.size(), peers_per_ask));
+    for (const auto& [most, i] : spare)
+    {
+        if (need < least_ask || !take(state.ask_budget, tokens(1), now))
+            return;
+        const double count = std::min(need, most);
+        const auto& peer = state.peers[i].who.instance;
+        round.requests[i].items.push_back(
+            {key_of(customer.pool.limits.customer),
+             static_cast<std::uint32_t>(std::ceil(count * 10))});
+        customer.asks.push_back(
+            {peer, state.next_request, count, now + ask_lifetime});
+        customer.needs[peer].spare -= count;
+        customer.next_ask = now + ask_interval;
+        need -= count;
+    }
+}
+
+void send_round(quota_state& state, exchange_round& round,
+                std::vector<outgoing>& messages, time_point now)
+{
+    bool asked = false;
+    for (std::size_t i = 0; i < state.peers.size(); ++i)
+    {
+        const auto& peer = state.peers[i];
+        auto& grant = round.grants[i];
+        if (!grant.loans.empty() || !grant.extended.empty())
+        {
+            grant.borrower = peer.who.life;
+            grant.to_demand = true;
+            grant.number = peer.last_demand;
+            grant.duration_ms = static_cast<std::uint32_t>(
+                state.settings.loan_duration.count());
+            messages.push_back({peer.who.instance, std::move(grant)});
+        }
+        if (!round.returns[i].items.empty())
+            messages.push_back(
+                {peer.who.instance, std::move(round.returns[i])});
+        if (!round.requests[i].items.empty())
+        {
+            round.requests[i].number = state.next_request;
+            messages.push_back(
+                {peer.who.instance, std::move(round.requests[i])});
+            asked = true;
+        }
+    }
+    if (asked)
+        remember(state.sent_requests, state.next_request++, now);
+}
+
+void tell_demand(quota_state& state, std::vector<outgoing>& messages,
+                 time_point now)
+{
+    demand message;
+    for (auto& it : state.customers)
+    {
+        const double rate = per_second(it.estimate);
+        const double spare = spare_tokens(state, it, now);
+        if (!worth_telling(it, rate, spare, now))
+            continue;
+        it.told_demand = rate;
+        it.told_spare = spare;
+        it.told = now;
+        message.items.push_back(
+            {static_cast<std::uint32_t>(key_of(it.pool.limits.customer)),
+             static_cast<std::uint32_t>(std::lround(rate * 10)),
+             static_cast<std::uint32_t>(spare * 10)});
+    }
+    const auto last = state.sent_demands.empty()
+                          ? time_point{}
+                          : state.sent_demands.back().sent;
+    if (message.items.empty() && now - last < demand_interval)
+        return;
+    message.number = state.next_demand++;
+    remember(state.sent_demands, message.number, now);
+    for (const auto& it : state.peers)
+        messages.push_back({it.who.instance, message});
+}
+
+} // namespace parsleyplank::quota
--- a/src/quota/loan.hpp
+++ b/src/quota/loan.hpp
@@ -32,10 +32,10 @@
     std::uint32_t customer = 0;
     // Arrivals per 10 s, admitted or not.
     std::uint32_t per_10s = 0;
-    // Whole tokens that the sender could lend now.
-    std::uint32_t spare = 0;
+    // Tenths of tokens that the sender could lend now.
+    std::uint32_t spare_tenths = 0;
 
-    MSGPACK_DEFINE_ARRAY(customer, per_10s, spare)
+    MSGPACK_DEFINE_ARRAY(customer, per_10s, spare_tenths)
 };
 
 // Tells demand and spare tokens, and stands for a request that a lender may
@@ -52,12 +52,12 @@
 struct request_item
 {
     customer_key customer = 0;
-    std::uint32_t tokens_wanted = 0;
+    std::uint32_t tenths = 0;
 
-    MSGPACK_DEFINE_ARRAY(customer, tokens_wanted)
+    MSGPACK_DEFINE_ARRAY(customer, tenths)
 };
 
-// Asks for tokens on need.
+// Asks for tokens on need, counted in tenths.
 struct loan_request
 {
     std::uint64_t number = 0;
@@ -80,6 +80,14 @@
     MSGPACK_DEFINE_ARRAY(customer, loan, rate, burst, level)
 };
 
+struct extension_item
+{
+    customer_key customer = 0;
+    std::vector<std::uint64_t> loans;
+
+    MSGPACK_DEFINE_ARRAY(customer, loans)
+};
+
 struct loan_grant
 {
     // Incarnation of the borrower: the numbers of an earlier life must not
@@ -91,7 +99,7 @@
     std::uint32_t duration_ms = 0;
     std::vector<grant_item> loans;
     // Earlier loans to the same borrower that last for the duration from now.
-    std::vector<std::uint64_t> extended;
+    std::vector<extension_item> extended;
 
     MSGPACK_DEFINE_ARRAY(borrower, to_demand, number, duration_ms, loans,
                          extended)
--- /dev/null
+++ b/src/quota/quota_messages.cpp
@@ -0,0 +1,160 @@
+#include <parsleyplank/quota/exchange.hpp>
+#include <parsleyplank/quota/quota_state.hpp>
+
+#include <algorithm>
+
+namespace parsleyplank::quota
+{
+
+namespace
+{
+
+// One message and the peer that sent it.
+struct delivery
+{
+    quota_state& state;
+    peer_state& peer;
+    time_point now;
+    quota_output& output;
+};
+
+customer_state* find_by_key(quota_state& state, customer_key key)
+{
+    const auto it = state.by_key.find(key);
+    return it == state.by_key.end() ? nullptr : &state.customers[it->second];
+}
+
+void handle(const delivery& to, const demand& message)
+{
+    if (message.number <= to.peer.last_demand)
+        return;
+    to.peer.last_demand = message.number;
+    for (const auto& item : message.items)
+    {
+        const auto it = to.state.by_short_key.find(item.customer);
+        if (it == to.state.by_short_key.end())
+            continue;
+        to.state.customers[it->second].needs[to.peer.who.instance] = {
+            item.per_10s / 10.0, item.spare_tenths / 10.0, to.now};
+    }
+}
+
+// Answers each item, with an empty loan if nothing can be spared: the borrower
+// then refuses its waiting requests at once or asks elsewhere.
+void handle(const delivery& to, const loan_request& message)
+{
+    if (message.number <= to.peer.last_request)
+        return;
+    to.peer.last_request = message.number;
+    const auto duration = to.state.settings.token_loan_duration;
+    loan_grant grant;
+    grant.borrower = to.peer.who.life;
+    grant.number = message.number;
+    grant.duration_ms = static_cast<std::uint32_t>(duration.count());
+    for (const auto& item : message.items)
+    {
+        auto* customer = find_by_key(to.state, item.customer);
+        if (customer == nullptr)
+            continue;
+        settle(customer->pool, to.now);
+        const tokens count(std::min(item.tenths / 10.0,
+                                    spare_tokens(to.state, *customer, to.now)));
+        const auto loan = lend(customer->pool, to.state.next_loan, to.peer.who,
+                               {token_rate(0), count, count}, duration, to.now);
+        if (loan)
+            ++to.state.next_loan;
+        grant.loans.push_back(loan.value_or(grant_item{item.customer}));
+    }
+    if (!grant.loans.empty())
+        to.output.messages.push_back({to.peer.who.instance, std::move(grant)});
+}
+
+// Takes the answer to an open request off the list.
+void close_ask(customer_state& customer, const instance_id& peer,
+               const loan_grant& message, const grant_item& item)
+{
+    const auto it = std::ranges::find_if(
+        customer.asks, [&](const open_ask& ask)
+        { return ask.peer == peer && ask.number == message.number; });
+    if (it == customer.asks.end())
+        return;
+    if (static_cast<double>(item.level) < it->count - 0.1)
+        customer.needs[peer].spare = 0;
+    customer.asks.erase(it);
+}
+
+void accept_item(const delivery& to, const loan_grant& message,
+                 const grant_item& item, time_point end)
+{
+    auto* customer = find_by_key(to.state, item.customer);
+    if (customer == nullptr)
+        return;
+    if (!message.to_demand)
+        close_ask(*customer, to.peer.who.instance, message, item);
+    if (item.loan != 0)
+        accept(customer->pool, to.peer.who, item, end, to.now);
+    if (customer->waiting > 0)
+        to.output.ready.push_back(customer->pool.limits.customer);
+}
+
+// Extends what is held, and returns what is not: a lender would otherwise go on
+// extending a loan whose grant was lost.
+void extend_item(const delivery& to, const extension_item& item, time_point end,
+                 loan_return& unknown)
+{
+    auto* customer = find_by_key(to.state, item.customer);
+    if (customer == nullptr)
+        return;
+    settle(customer->pool, to.now);
+    for (const auto number : item.loans)
+        if (!extend_borrowed(customer->pool, to.peer.who, number, end))
+            unknown.items.push_back(
+                disown(customer->pool, to.peer.who, number,
+                       to.now + to.state.settings.freshness_bound));
+}
+
+void handle(const delivery& to, const loan_grant& message)
+{
+    const auto& sent =
+        message.to_demand ? to.state.sent_demands : to.state.sent_requests;
+    const auto it =
+        std::ranges::find(sent, message.number, &sent_number::number);
+    const milliseconds duration(message.duration_ms);
+    if (message.borrower != to.state.self.life || it == sent.end() ||
+        duration > to.state.settings.freshness_bound)
+        return;
+    const auto end = borrower_end(it->sent, duration);
+    for (const auto& item : message.loans)
+        accept_item(to, message, item, end);
+    loan_return unknown{to.peer.who.life, {}};
+    for (const auto& item : message.extended)
+        extend_item(to, item, end, unknown);
+    if (!unknown.items.empty())
+        to.output.messages.push_back(
+            {to.peer.who.instance, std::move(unknown)});
+}
+
+void handle(const delivery& to, const loan_return& message)
+{
+    if (message.lender != to.state.self.life)
+        return;
+    for (const auto& item : message.items)
+        for (auto& customer : to.state.customers)
+            take_return(customer.pool, to.peer.who, item, to.now);
+}
+
+} // namespace
+
+quota_output on_message(quota_state& state, const member& from,
+                        const message_body& body, time_point now)
+{
+    quota_output output;
+    const auto it = std::ranges::find(state.peers, from, &peer_state::who);
+    if (it == state.peers.end())
+        return output;
+    const delivery to{state, *it, now, output};
+    std::visit([&](const auto& message) { handle(to, message); }, body);
+    return output;
+}
+
+} // namespace parsleyplank::quota
--- a/src/quota/quota_state.hpp
+++ b/src/quota/quota_state.hpp
@@ -7,7 +7,8 @@
 // and an instance that runs short asks the peers with most spare tokens.
 //
 // The state belongs to one thread. Functions that take the time also return the
-// messages to send; a lost message costs efficiency only.
+// messages to send; a lost message costs efficiency only. The time must be read
+// after the message, the table or the request that is handed over arrived.
 
 #include <parsleyplank/core/reason.hpp>
 #include <parsleyplank/quota/customer_pool.hpp>
@@ -33,8 +34,10 @@
     milliseconds token_loan_duration{500};
     // Requests for tokens per second, over all customers and peers.
     double asks_per_second = 50;
-    // Turn off the two mechanisms that move rate and tokens, for comparison.
+    // Each mechanism can be turned off for comparison.
     bool lend_ahead = true;
+    bool extend_loans = true;
+    bool return_early = true;
     bool ask_on_need = true;
 };
 
@@ -52,7 +55,6 @@
     // Highest numbers received; lower ones are late and ignored.
     std::uint64_t last_demand = 0;
     std::uint64_t last_request = 0;
-    time_point demand_heard;
 };
 
 // An open request for tokens.
@@ -148,8 +150,8 @@
 quota_state make_quota_state(const member& self, const quota_settings& settings,
                              time_point now);
 
-// Sets the customers and their limits. Customers that are not listed are
-// dropped with their pools; the loans that they had expire.
+// Sets the customers and their limits. A customer that is not listed is refused
+// at once; its pool is kept until the loans that it knows of have ended.
 void set_customers(quota_state& state, std::span<const customer_limits> limits,
                    time_point now);
 
