--- a/apps/parsleyplank-entry/main.cpp
+++ b/apps/parsleyplank-entry/main.cpp
@@ -30,20 +30,25 @@
     return signals;
 }
 
+// Begins a graceful shutdown when a stop signal comes; returns once ended is
+// set.
+void wait_for_stop(const sigset_t& signals, entry::node& node,
+                   const std::atomic<bool>& ended)
+{
+    const timespec poll_interval{0, 200'000'000};
+    while (!ended)
+        if (sigtimedwait(&signals, nullptr, &poll_interval) > 0)
+            node.begin_drain();
+}
+
 void run_node(const entry::settings& settings)
 {
     const auto signals = block_stop_signals();
     entry::node node(settings);
-    std::thread waiter(
-        [&]
-        {
-            int signal = 0;
-            sigwait(&signals, &signal);
-            node.begin_drain();
-        });
+    std::atomic<bool> ended{false};
+    std::thread waiter([&] { wait_for_stop(signals, node, ended); });
     node.run();
-    // Ends the waiter after a drain that the admin port has begun.
-    pthread_kill(waiter.native_handle(), SIGTERM);
+    ended = true;
     waiter.join();
 }
 
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -82,14 +82,16 @@
     options.port = config.admin_port;
     options.threads = 1;
     admin_front = std::make_unique<dataplane::http_front>(
-        options, [this](dataplane::inbound_request in, dataplane::responder out)
-        { handle_admin(in, out); });
+        options,
+        [this](const dataplane::inbound_request& in,
+               const dataplane::responder& out) { handle_admin(in, out); });
     options.port = config.caller_port;
     options.threads = config.caller_threads;
     options.max_body_memory = config.max_body_memory_bytes;
     caller_front = std::make_unique<dataplane::http_front>(
-        options, [this](dataplane::inbound_request in, dataplane::responder out)
-        { handle_caller(std::move(in), std::move(out)); });
+        options,
+        [this](dataplane::inbound_request in, const dataplane::responder& out)
+        { handle_caller(std::move(in), out); });
     // Last, because a port that can't be bound must not leave a thread behind.
     list_thread = std::thread([this] { poll_list(); });
     LOG4CPLUS_INFO(node_log(), "Instance " << config.id.value << " incarnation "
@@ -376,7 +378,7 @@
 }
 
 void node::handle_caller(dataplane::inbound_request in,
-                         dataplane::responder out)
+                         const dataplane::responder& out)
 {
     const auto current = snapshot.load();
     if (in.method == "GET" && in.path == "/v1/lookup")
@@ -395,7 +397,7 @@
         auto response =
             dataplane::make_refusal(*routed.refusal, run_outcome::not_run);
         response.headers.push_back({"x-request-id", id.value});
-        out.complete(std::move(response));
+        out.complete(response);
         return;
     }
     loop.post([this, request = std::move(routed.request)]() mutable
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -56,7 +56,8 @@
     void enter_finishing();
     bool drained() const;
 
-    void handle_caller(dataplane::inbound_request in, dataplane::responder out);
+    void handle_caller(dataplane::inbound_request in,
+                       const dataplane::responder& out);
     void handle_admin(const dataplane::inbound_request& in,
                       const dataplane::responder& out);
 
--- a/src/entry/request_flow.cpp
+++ b/src/entry/request_flow.cpp
@@ -48,7 +48,7 @@
              std::string(to_string(outcome)));
     context.counters.count_request(r.routed.route->id, outcome,
                                    r.steps.steps.back().after);
-    r.routed.out.complete(std::move(response));
+    r.routed.out.complete(response);
     if (r.attempt)
         flow.by_attempt.erase(*r.attempt);
     flow.decisions.add(std::move(r.steps));
@@ -113,7 +113,7 @@
                        std::uint64_t number);
 
 void finish_try(request_flow& flow, node_context& context, std::uint64_t number,
-                dataplane::call_result result);
+                const dataplane::call_result& result);
 
 dataplane::backend_call make_call(const active_request& r)
 {
@@ -412,7 +412,7 @@
 }
 
 void finish_try(request_flow& flow, node_context& context, std::uint64_t number,
-                dataplane::call_result result)
+                const dataplane::call_result& result)
 {
     auto& r = flow.active.at(number);
     const auto verdict = judge_try(result);
