--- a/src/peer/nng_transport.cpp
+++ b/src/peer/nng_transport.cpp
@@ -10,6 +10,8 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
+#include <future>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -23,6 +25,14 @@
 
 constexpr nng_duration error_pause_ms = 100;
 
+// nng 1.5.2 can wait forever in nng_close of a socket over which a message is
+// being received. A socket that nobody receives from takes one more message
+// per connection and is then at rest, within this time.
+constexpr nng_duration settle_ms = 20;
+
+// Bounds the wait for nng_close should a message still arrive during it.
+constexpr std::chrono::seconds close_bound{2};
+
 void check(int code, const std::string& what)
 {
     if (code != 0)
@@ -75,6 +85,36 @@
     return "unknown peer";
 }
 
+// Owns an asynchronous operation.
+class aio_owner
+{
+public:
+    aio_owner()
+    {
+        check(nng_aio_alloc(&handle, nullptr, nullptr), "receive operation");
+    }
+
+    ~aio_owner()
+    {
+        nng_aio_free(handle);
+    }
+
+    aio_owner(const aio_owner&) = delete;
+    aio_owner& operator=(const aio_owner&) = delete;
+
+    nng_aio* handle = nullptr;
+};
+
+// Closes a socket that messages may still arrive on. Returns false if that did
+// not end within the bound; it then goes on in a thread of its own.
+bool close_within_bound(nng_socket handle)
+{
+    std::packaged_task<int()> closing([handle] { return nng_close(handle); });
+    auto closed = closing.get_future();
+    std::thread(std::move(closing)).detach();
+    return closed.wait_for(close_bound) == std::future_status::ready;
+}
+
 struct atomic_counts
 {
     std::atomic<std::uint64_t> messages_sent{0};
@@ -109,6 +149,7 @@
     std::mutex mutex;
     std::map<instance_id, std::shared_ptr<socket_owner>> peers;
     socket_owner pull;
+    aio_owner receive;
     std::thread receiver;
 };
 
@@ -152,9 +193,10 @@
 {
     for (;;)
     {
-        nng_msg* msg = nullptr;
-        const int code = nng_recvmsg(pull.handle, &msg, 0);
-        if (code == NNG_ECLOSED)
+        nng_recv_aio(pull.handle, receive.handle);
+        nng_aio_wait(receive.handle);
+        const int code = nng_aio_result(receive.handle);
+        if (code == NNG_ECANCELED || code == NNG_ECLOSED)
             return;
         if (code != 0)
         {
@@ -163,6 +205,7 @@
             nng_msleep(error_pause_ms);
             continue;
         }
+        auto* const msg = nng_aio_get_msg(receive.handle);
         handle(msg);
         nng_msg_free(msg);
     }
@@ -208,8 +251,14 @@
 
 nng_transport::~nng_transport()
 {
-    nng_close(self->pull.handle);
+    nng_aio_stop(self->receive.handle);
     self->receiver.join();
+    self->peers.clear();
+    nng_msleep(settle_ms);
+    if (!close_within_bound(self->pull.handle))
+        LOG4CPLUS_ERROR(self->log, "the socket that listens on port "
+                                       << self->bound_port
+                                       << " did not close in time");
     self->pull.handle = NNG_SOCKET_INITIALIZER;
 }
 
