--- a/src/config/service_file.cpp
+++ b/src/config/service_file.cpp
@@ -1,3 +1,4 @@
+#include <parsleyplank/config/fleet_file.hpp>
 #include <parsleyplank/config/service_file.hpp>
 #include <parsleyplank/config/toml_reader.hpp>
 
@@ -24,112 +25,6 @@
 }
 
 constexpr std::int64_t max_count = 1'000'000;
-constexpr double ppm_per_percent = 10'000;
-// 1 Mbit/s in bytes per second.
-constexpr double bytes_per_mbit = 125'000;
-
-template <typename Id>
-std::vector<Id> to_ids(const std::vector<std::string>& names)
-{
-    std::vector<Id> ids;
-    std::ranges::transform(names, std::back_inserter(ids),
-                           [](const std::string& name) { return Id(name); });
-    return ids;
-}
-
-// Values out of range are left to validate, whose message names the limits.
-share_ppm from_percent(double percent)
-{
-    const double ppm = std::round(percent * ppm_per_percent);
-    return {static_cast<std::uint32_t>(
-        std::clamp(ppm, 0.0, static_cast<double>(ppm_total) + 1))};
-}
-
-void read_fleet(table_reader& from, fleet& v)
-{
-    from.rename("fleet");
-    v.name = from.text("name", "\"tokachi\"");
-    v.store_region = region_id(from.text("store_region", "\"doto\""));
-    v.default_region = region_id(from.text("default_region", "\"doto\""));
-    v.freshness_bound =
-        from.duration("freshness_bound_ms", "3000", v.freshness_bound);
-    v.list_bound = from.duration("list_bound_ms", "30000", v.list_bound);
-    v.lookup_ttl = from.duration("lookup_ttl_ms", "5000", v.lookup_ttl);
-    v.borrow_wait = from.duration("borrow_wait_ms", "250", v.borrow_wait);
-    v.claim_wait = from.duration("claim_wait_ms", "2000", v.claim_wait);
-    v.claim_retention =
-        from.duration("claim_retention_s", "86400", v.claim_retention);
-    v.claim_buckets = static_cast<std::uint32_t>(
-        from.integer("claim_buckets", "64", 0, max_count, v.claim_buckets));
-    v.claim_write_rate =
-        from.number("claim_writes_per_s", "30", v.claim_write_rate);
-    v.shift_cap = from_percent(from.number(
-        "shift_cap_percent", "5", v.shift_cap.value / ppm_per_percent));
-    v.shift_interval =
-        from.duration("shift_interval_s", "10", v.shift_interval);
-}
-
-region read_region(table_reader& from)
-{
-    region v;
-    v.id = region_id(from.text("id", "\"doto\""));
-    from.rename(item_name("region", v.id.value));
-    v.domains = to_ids<failure_domain_id>(
-        from.texts("failure_domains", "[\"doto-a\", \"doto-b\"]", true));
-    v.fallbacks = to_ids<region_id>(from.texts("fallbacks", "[\"doo\"]"));
-    return v;
-}
-
-link read_link(table_reader& from)
-{
-    link v;
-    const auto ends = from.texts("between", "[\"doto\", \"doo\"]", true);
-    if (ends.size() == 2)
-    {
-        v.a = region_id(std::min(ends[0], ends[1]));
-        v.b = region_id(std::max(ends[0], ends[1]));
-    }
-    else if (!ends.empty())
-        from.report("between", "between must name two regions, names " +
-                                   std::to_string(ends.size()));
-    from.rename(item_name("link", v.a.value + " - " + v.b.value));
-    v.capacity =
-        byte_rate(from.number("capacity_mbit_s", "280") * bytes_per_mbit);
-    return v;
-}
-
-customer read_customer(table_reader& from)
-{
-    customer v;
-    v.id = customer_id(from.text("id", "\"shop-1\""));
-    from.rename(item_name("customer", v.id.value));
-    v.rate = token_rate(from.number("rate_per_s", "50"));
-    v.burst = tokens(from.number("burst", "100"));
-    v.weight = from.number("weight", "1", v.weight);
-    return v;
-}
-
-api_key read_key(table_reader& from)
-{
-    api_key v;
-    v.digest = from.text("sha256", "\"<64 hexadecimal digits>\"");
-    from.rename(key_name(v.digest));
-    v.customer = customer_id(from.text("customer", "\"shop-1\""));
-    return v;
-}
-
-void read_blocks(table_reader& from, bundle& content)
-{
-    const region_id region(from.text("region", "\"doto\""));
-    const auto prefixes = from.texts("prefixes", "[\"10.1.0.0/16\"]", true);
-    std::ranges::for_each(prefixes,
-                          [&](const std::string& prefix)
-                          {
-                              from.rename(item_name("client block", prefix));
-                              content.client_blocks.push_back({prefix, region});
-                          });
-}
-
 backend_server read_server(table_reader& from, const upstream_id& upstream)
 {
     backend_server v;
@@ -146,21 +41,6 @@
     return v;
 }
 
-// Reads each table of a list by a function of the reader and appends the
-// result.
-template <typename Item, typename Function>
-void read_list(table_reader& from, const std::string& key,
-               collected_files& files, const std::string& file,
-               std::vector<Item>& list, Function read)
-{
-    for (const toml::table* table : from.tables(key))
-    {
-        table_reader item(files, file, key, *table);
-        list.push_back(read(item));
-        item.end();
-    }
-}
-
 upstream read_upstream(table_reader& from, collected_files& files,
                        const std::string& file)
 {
@@ -207,7 +87,8 @@
     route v;
     v.id = route_id(from.text("id", "\"orders\""));
     from.rename(item_name("route", v.id.value));
-    v.upstream = upstream_id(from.text("upstream", "\"orderdesk\""));
+    // validate reports a route without upstream.
+    v.upstream = upstream_id(from.text("upstream", "\"orderdesk\"", ""));
     v.path_prefix = from.text("path_prefix", "\"/orders\"");
     v.methods = from.texts("methods", "[\"GET\"]", true);
     v.open = from.flag("open", v.open);
@@ -234,30 +115,6 @@
     return v;
 }
 
-void add_fleet_file(collected_files& files, const std::string& file,
-                    const toml::table& root)
-{
-    bundle& to = files.content;
-    table_reader from(files, file, "fleet file", root);
-    if (const toml::table* const table = from.table("fleet"))
-    {
-        table_reader item(files, file, "fleet", *table);
-        read_fleet(item, to.settings);
-        item.end();
-    }
-    read_list(from, "region", files, file, to.regions, read_region);
-    read_list(from, "link", files, file, to.links, read_link);
-    read_list(from, "customer", files, file, to.customers, read_customer);
-    read_list(from, "key", files, file, to.keys, read_key);
-    for (const toml::table* table : from.tables("client_block"))
-    {
-        table_reader item(files, file, "client_block", *table);
-        read_blocks(item, to);
-        item.end();
-    }
-    from.end();
-}
-
 void add_service_file(collected_files& files, const std::string& file,
                       const toml::table& root)
 {
--- a/src/config/toml_reader.cpp
+++ b/src/config/toml_reader.cpp
@@ -42,8 +42,23 @@
 void table_reader::rename(const std::string& item)
 {
     name = item;
+    note(item, source);
+}
+
+void table_reader::note(const std::string& item, const toml::node& node)
+{
     std::string& places = files.sources[item];
-    places += (places.empty() ? "" : " and ") + place(source);
+    places += (places.empty() ? "" : " and ") + place(node);
+}
+
+void table_reader::note_element(const std::string& item, const std::string& key,
+                                std::size_t at)
+{
+    const toml::node* const node = source.get(key);
+    const toml::array* const list =
+        node == nullptr ? nullptr : node->as_array();
+    const toml::node* const element = list == nullptr ? nullptr : list->get(at);
+    note(item, element == nullptr ? source : *element);
 }
 
 void table_reader::report(const std::string& key, const std::string& text)
@@ -132,14 +147,16 @@
     if (node == nullptr)
         return absent.value_or(least);
     const auto value = node->value_exact<std::int64_t>();
+    if (value && *value >= least && *value <= most)
+        return *value;
     if (!value)
         report(key, key + " must be a whole number, is " + type_name(*node) +
                         shown(key, hint));
-    else if (*value < least || *value > most)
+    else
         report(key, key + " must be from " + std::to_string(least) + " to " +
                         std::to_string(most) + ", is " +
                         std::to_string(*value) + shown(key, hint));
-    return std::clamp(value.value_or(absent.value_or(least)), least, most);
+    return absent.value_or(least);
 }
 
 std::vector<const toml::table*> table_reader::tables(const std::string& key)
@@ -181,4 +198,11 @@
                                                "\"; known keys are " + list);
 }
 
+share_ppm from_percent(double percent)
+{
+    const double ppm = std::round(percent * ppm_per_percent);
+    return {static_cast<std::uint32_t>(
+        std::clamp(ppm, 0.0, static_cast<double>(ppm_total) + 1))};
+}
+
 } // namespace parsleyplank::config
--- a/src/config/toml_reader.hpp
+++ b/src/config/toml_reader.hpp
@@ -6,7 +6,9 @@
 
 #include <parsleyplank/config/service_file.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <limits>
 #include <optional>
 #include <set>
@@ -29,6 +31,10 @@
     // Names the item from here on and notes where it stands.
     void rename(const std::string& item);
 
+    // Notes where an item stands that is one element of an array.
+    void note_element(const std::string& item, const std::string& key,
+                      std::size_t at);
+
     // Each returns the value of a key, or the default if the key is absent. The
     // hint shows the right form in problems. Without a default an absent key is
     // a problem.
@@ -70,6 +76,7 @@
     const toml::node* take(const std::string& key, const std::string& hint,
                            bool required);
     std::string place(const toml::node& node) const;
+    void note(const std::string& item, const toml::node& node);
 
     collected_files& files;
     std::string file;
@@ -78,6 +85,37 @@
     std::set<std::string> known;
 };
 
+// Reads each table below [[key]] by a function of its reader and appends the
+// result to the list.
+template <typename Item, typename Function>
+void read_list(table_reader& from, const std::string& key,
+               collected_files& files, const std::string& file,
+               std::vector<Item>& list, Function read)
+{
+    for (const toml::table* table : from.tables(key))
+    {
+        table_reader item(files, file, key, *table);
+        list.push_back(read(item));
+        item.end();
+    }
+}
+
+// Returns the names as ids.
+template <typename Id>
+std::vector<Id> to_ids(const std::vector<std::string>& names)
+{
+    std::vector<Id> ids;
+    std::ranges::transform(names, std::back_inserter(ids),
+                           [](const std::string& name) { return Id(name); });
+    return ids;
+}
+
+inline constexpr double ppm_per_percent = 10'000;
+
+// Returns a share given in percent. One above 100% stays above, for validate to
+// report.
+share_ppm from_percent(double percent);
+
 } // namespace parsleyplank::config
 
 #endif
