--- a/src/placement/server_choice.cpp
+++ b/src/placement/server_choice.cpp
@@ -26,43 +26,47 @@
     double weight = 0;
 };
 
-// Mean latency of the servers that have one, for those that have none. 1 ms if
-// nothing is known; the value only has to be the same for all.
-double mean_latency(const server_pool& pool)
+// Median latency of the servers that have one, so that one slow server does not
+// count; 1 ms if nothing is known, where the value only has to be the same for
+// all.
+double usual_latency(const server_pool& pool)
 {
-    double sum = 0;
-    int n = 0;
+    std::vector<double> known;
+    known.reserve(pool.servers.size());
     for (const auto& [id, it] : pool.servers)
     {
         if (it.latency_ms > 0)
-        {
-            sum += it.latency_ms;
-            ++n;
-        }
+            known.push_back(it.latency_ms);
     }
-    return n == 0 ? 1 : sum / n;
+    if (known.empty())
+        return 1;
+    // The lower middle: with two servers the faster one is the usual one.
+    const auto middle =
+        known.begin() + static_cast<std::ptrdiff_t>((known.size() - 1) / 2);
+    std::ranges::nth_element(known, middle);
+    return *middle;
 }
 
-// The own latency, drawn towards the mean the longer it has not been seen.
+// The own latency, drawn towards the usual one the longer it has not been seen.
 double expected_latency(const server_state& server, const choice_options& opts,
-                        double mean, time_point now)
+                        double usual, time_point now)
 {
     if (server.latency_ms <= 0)
-        return mean;
+        return usual;
     const auto age = seconds_double(now - server.latency_at);
     const double keep =
         std::exp(-std::max(0.0, age / seconds_double(opts.latency_decay)));
-    return server.latency_ms * keep + mean * (1 - keep);
+    return server.latency_ms * keep + usual * (1 - keep);
 }
 
-double cost(const server_state& server, const choice_options& opts, double mean,
-            time_point now)
+double cost(const server_state& server, const choice_options& opts,
+            double usual, time_point now)
 {
     double factor = 1;
     if (now - server.reported_at <= opts.report_age)
         factor += opts.reported_weight * server.reported_load;
     return (server.in_flight + 1) * factor *
-           expected_latency(server, opts, mean, now);
+           expected_latency(server, opts, usual, now);
 }
 
 std::vector<candidate>
@@ -189,9 +193,9 @@
     if (!candidates.empty())
     {
         const auto other = draw(candidates, rng);
-        const double mean = mean_latency(pool);
-        if (cost(*other.state, pool.options, mean, now) <
-            cost(*chosen.state, pool.options, mean, now))
+        const double usual = usual_latency(pool);
+        if (cost(*other.state, pool.options, usual, now) <
+            cost(*chosen.state, pool.options, usual, now))
             chosen = other;
     }
     ++chosen.state->in_flight;
@@ -211,9 +215,14 @@
         return;
     const double sample =
         std::chrono::duration<double, std::milli>(latency).count();
-    const double weight =
-        server.latency_ms > 0 ? pool.options.latency_weight : 1;
-    server.latency_ms += weight * (sample - server.latency_ms);
+    if (server.latency_ms <= 0)
+        server.latency_ms = sample;
+    // Starts from what is expected by now, so that an old value does not keep
+    // its weight after a long time without requests.
+    const double before =
+        expected_latency(server, pool.options, usual_latency(pool), now);
+    server.latency_ms =
+        before + pool.options.latency_weight * (sample - before);
     server.latency_at = now;
 }
 
