--- a/src/placement/server_choice.cpp
+++ b/src/placement/server_choice.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -26,47 +27,40 @@
     double weight = 0;
 };
 
-// Median latency of the servers that have one, so that one slow server does not
-// count; 1 ms if nothing is known, where the value only has to be the same for
-// all.
-double usual_latency(const server_pool& pool)
+// Lowest latency of the servers that have one; 1 ms if nothing is known, where
+// the value only has to be the same for all. With the mean or median a server
+// without samples would lose every comparison and never get a new sample.
+double best_latency(const server_pool& pool)
 {
-    std::vector<double> known;
-    known.reserve(pool.servers.size());
+    double best = std::numeric_limits<double>::infinity();
     for (const auto& [id, it] : pool.servers)
     {
         if (it.latency_ms > 0)
-            known.push_back(it.latency_ms);
+            best = std::min(best, it.latency_ms);
     }
-    if (known.empty())
-        return 1;
-    // The lower middle: with two servers the faster one is the usual one.
-    const auto middle =
-        known.begin() + static_cast<std::ptrdiff_t>((known.size() - 1) / 2);
-    std::ranges::nth_element(known, middle);
-    return *middle;
+    return std::isinf(best) ? 1 : best;
 }
 
-// The own latency, drawn towards the usual one the longer it has not been seen.
+// The own latency, drawn towards the best one the longer it has not been seen.
 double expected_latency(const server_state& server, const choice_options& opts,
-                        double usual, time_point now)
+                        double best, time_point now)
 {
     if (server.latency_ms <= 0)
-        return usual;
+        return best;
     const auto age = seconds_double(now - server.latency_at);
     const double keep =
         std::exp(-std::max(0.0, age / seconds_double(opts.latency_decay)));
-    return server.latency_ms * keep + usual * (1 - keep);
+    return server.latency_ms * keep + best * (1 - keep);
 }
 
-double cost(const server_state& server, const choice_options& opts,
-            double usual, time_point now)
+double cost(const server_state& server, const choice_options& opts, double best,
+            time_point now)
 {
     double factor = 1;
     if (now - server.reported_at <= opts.report_age)
         factor += opts.reported_weight * server.reported_load;
     return (server.in_flight + 1) * factor *
-           expected_latency(server, opts, usual, now);
+           expected_latency(server, opts, best, now);
 }
 
 std::vector<candidate>
@@ -193,9 +187,9 @@
     if (!candidates.empty())
     {
         const auto other = draw(candidates, rng);
-        const double usual = usual_latency(pool);
-        if (cost(*other.state, pool.options, usual, now) <
-            cost(*chosen.state, pool.options, usual, now))
+        const double best = best_latency(pool);
+        if (cost(*other.state, pool.options, best, now) <
+            cost(*chosen.state, pool.options, best, now))
             chosen = other;
     }
     ++chosen.state->in_flight;
@@ -220,7 +214,7 @@
     // Starts from what is expected by now, so that an old value does not keep
     // its weight after a long time without requests.
     const double before =
-        expected_latency(server, pool.options, usual_latency(pool), now);
+        expected_latency(server, pool.options, best_latency(pool), now);
     server.latency_ms =
         before + pool.options.latency_weight * (sample - before);
     server.latency_at = now;
--- a/src/placement/server_choice.hpp
+++ b/src/placement/server_choice.hpp
@@ -38,7 +38,7 @@
     // Weight of one sample in the latency average.
     double latency_weight = 0.2;
     // Time constant with which the latency of a server without samples returns
-    // to the median of all, so that it is tried again.
+    // to the lowest of all, so that it is tried again.
     std::chrono::seconds latency_decay{10};
     // Factor on the cost of a server that reports full load.
     double reported_weight = 0.5;
