--- a/src/placement/server_choice.cpp
+++ b/src/placement/server_choice.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -26,43 +27,40 @@
     double weight = 0;
 };
 
-// Mean latency of the servers that have one, for those that have none. 1 ms if
-// nothing is known; the value only has to be the same for all.
-double mean_latency(const server_pool& pool)
+// Lowest latency of the servers that have one; 1 ms if nothing is known, where
+// the value only has to be the same for all. With the mean or median a server
+// without samples would lose every comparison and never get a new sample.
+double best_latency(const server_pool& pool)
 {
-    double sum = 0;
-    int n = 0;
+    double best = std::numeric_limits<double>::infinity();
     for (const auto& [id, it] : pool.servers)
     {
         if (it.latency_ms > 0)
-        {
-            sum += it.latency_ms;
-            ++n;
-        }
+            best = std::min(best, it.latency_ms);
     }
-    return n == 0 ? 1 : sum / n;
+    return std::isinf(best) ? 1 : best;
 }
 
-// The own latency, drawn towards the mean the longer it has not been seen.
+// The own latency, drawn towards the best one the longer it has not been seen.
 double expected_latency(const server_state& server, const choice_options& opts,
-                        double mean, time_point now)
+                        double best, time_point now)
 {
     if (server.latency_ms <= 0)
-        return mean;
+        return best;
     const auto age = seconds_double(now - server.latency_at);
     const double keep =
         std::exp(-std::max(0.0, age / seconds_double(opts.latency_decay)));
-    return server.latency_ms * keep + mean * (1 - keep);
+    return server.latency_ms * keep + best * (1 - keep);
 }
 
-double cost(const server_state& server, const choice_options& opts, double mean,
+double cost(const server_state& server, const choice_options& opts, double best,
             time_point now)
 {
     double factor = 1;
     if (now - server.reported_at <= opts.report_age)
         factor += opts.reported_weight * server.reported_load;
     return (server.in_flight + 1) * factor *
-           expected_latency(server, opts, mean, now);
+           expected_latency(server, opts, best, now);
 }
 
 std::vector<candidate>
@@ -189,9 +187,9 @@
     if (!candidates.empty())
     {
         const auto other = draw(candidates, rng);
-        const double mean = mean_latency(pool);
-        if (cost(*other.state, pool.options, mean, now) <
-            cost(*chosen.state, pool.options, mean, now))
+        const double best = best_latency(pool);
+        if (cost(*other.state, pool.options, best, now) <
+            cost(*chosen.state, pool.options, best, now))
             chosen = other;
     }
     ++chosen.state->in_flight;
@@ -211,9 +209,14 @@
         return;
     const double sample =
         std::chrono::duration<double, std::milli>(latency).count();
-    const double weight =
-        server.latency_ms > 0 ? pool.options.latency_weight : 1;
-    server.latency_ms += weight * (sample - server.latency_ms);
+    if (server.latency_ms <= 0)
+        server.latency_ms = sample;
+    // Starts from what is expected by now, so that an old value does not keep
+    // its weight after a long time without requests.
+    const double before =
+        expected_latency(server, pool.options, best_latency(pool), now);
+    server.latency_ms =
+        before + pool.options.latency_weight * (sample - before);
     server.latency_at = now;
 }
 
