--- a/src/claims/bucket_writer.cpp
+++ b/src/claims/bucket_writer.cpp
@@ -3,6 +3,7 @@
 #include <parsleyplank/store/kv_store.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 
 namespace parsleyplank::claims
@@ -178,11 +179,11 @@
 template <typename Predicate>
 std::vector<blocked_claim> take_blocked(bucket& b, Predicate matches)
 {
-    const auto kept =
-        std::ranges::stable_partition(b.blocked, std::not_fn(matches));
-    std::vector<blocked_claim> taken(std::move_iterator(kept.begin()),
-                                     std::move_iterator(kept.end()));
-    b.blocked.erase(kept.begin(), kept.end());
+    const auto first = std::stable_partition(b.blocked.begin(), b.blocked.end(),
+                                             std::not_fn(matches));
+    std::vector<blocked_claim> taken(std::make_move_iterator(first),
+                                     std::make_move_iterator(b.blocked.end()));
+    b.blocked.erase(first, b.blocked.end());
     return taken;
 }
 
@@ -216,13 +217,12 @@
 
 void check_settings(const writer_settings& settings)
 {
-    // One entry with the largest response has to fit several times.
-    if (settings.segment_bytes < 16 * 1024 ||
+    if (settings.segment_bytes < min_segment_bytes ||
         settings.segment_bytes > store::max_value_bytes)
-        throw config_error("claim segment size " +
-                           std::to_string(settings.segment_bytes) +
-                           " is not between 16384 and " +
-                           std::to_string(store::max_value_bytes) + " bytes");
+        throw config_error(
+            "claim segment size " + std::to_string(settings.segment_bytes) +
+            " is not between " + std::to_string(min_segment_bytes) + " and " +
+            std::to_string(store::max_value_bytes) + " bytes");
     if (!(settings.write_rate > 0) || !(settings.write_burst >= 1))
         throw config_error("claim_write_rate must be above 0 and its burst at "
                            "least 1");
--- a/src/claims/bucket_writer.hpp
+++ b/src/claims/bucket_writer.hpp
@@ -21,7 +21,7 @@
 struct writer_settings
 {
     // Size in bytes of the current segment at which it is sealed.
-    std::size_t segment_bytes = 256 * 1024;
+    std::size_t segment_bytes = 262'144;
     // Store writes and deletes per second of this instance.
     double write_rate = 30;
     // Writes that may follow each other at once after a quiet time.
--- a/src/claims/segment.hpp
+++ b/src/claims/segment.hpp
@@ -24,6 +24,9 @@
 namespace parsleyplank::claims
 {
 
+// Smallest size of a segment: several entries with the largest response.
+inline constexpr std::size_t min_segment_bytes = 16'384;
+
 struct claim_entry
 {
     hash128_value key;
--- a/test/failure/claims_schedules.cpp
+++ b/test/failure/claims_schedules.cpp
@@ -68,7 +68,7 @@
 std::string key_written_by(const claims_cluster& cluster, std::size_t writer)
 {
     for (int n = 0;; ++n)
-        if (const auto key = "order-" + std::to_string(n);
+        if (auto key = "order-" + std::to_string(n);
             cluster.writer_index(key) == writer)
             return key;
 }
@@ -208,8 +208,8 @@
         }
     }
 
-    // Small segments and a short retention seal and retire many segments; keys
-    // are used for less time than the retention.
+    // Small segments and a short retention, so that segments are sealed and
+    // retired; a key is used for less time than the retention.
     static cluster_settings random_settings(std::uint64_t seed)
     {
         cluster_settings settings;
@@ -219,8 +219,8 @@
         settings.duplicate = 0.1;
         settings.slow = 0.1;
         settings.response_size = seed % 2 == 0 ? 3'000 : 0;
-        settings.writer.segment_bytes = 16 * 1024;
-        settings.writer.retention = std::chrono::seconds(30);
+        settings.writer.segment_bytes = claims::min_segment_bytes;
+        settings.writer.retention = std::chrono::seconds(15);
         return settings;
     }
 
@@ -236,7 +236,7 @@
         {
             return random_backend_fault(cluster);
         };
-        for (int n = 0; n < 60; ++n)
+        for (int n = 0; n < 100; ++n)
         {
             const auto key = "order-" + std::to_string(n / 6) + "-" +
                              std::to_string(cluster.random() % 3);
--- a/test/support/claims_cluster.hpp
+++ b/test/support/claims_cluster.hpp
@@ -81,9 +81,8 @@
 public:
     using action = std::function<void(claims_node&)>;
 
-    explicit claims_cluster(cluster_settings s)
-        : settings(std::move(s)), nodes(settings.instances),
-          random(settings.seed)
+    explicit claims_cluster(const cluster_settings& s)
+        : settings(s), nodes(settings.instances), random(settings.seed)
     {
         for (std::size_t n = 0; n < settings.instances; ++n)
             ids.emplace_back("entry-" + std::to_string(n + 1));
