--- a/test/correctness/store_http.cpp
+++ b/test/correctness/store_http.cpp
@@ -31,6 +31,15 @@
             false};
 }
 
+struct connected
+{
+    standin::store_server server{"127.0.0.1", 0};
+    const http_settings settings{"127.0.0.1", server.port(),
+                                 milliseconds(20'000), milliseconds(20'000)};
+    http_kv_store store{settings};
+    http_instance_list instances{settings};
+};
+
 class store_http : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(store_http);
@@ -45,16 +54,6 @@
     CPPUNIT_TEST(faults_and_instances_are_set_over_http);
     CPPUNIT_TEST_SUITE_END();
 
-    struct connected
-    {
-        standin::store_server server{"127.0.0.1", 0};
-        const http_settings settings{"127.0.0.1", server.port(),
-                                     milliseconds(20'000),
-                                     milliseconds(20'000)};
-        http_kv_store store{settings};
-        http_instance_list instances{settings};
-    };
-
     std::optional<connected> link;
 
 public:
