--- a/src/config/adoption.cpp
+++ b/src/config/adoption.cpp
@@ -21,21 +21,16 @@
 // Drops all parts but those of the held and of the wanted manifest.
 void drop_unused_parts(adoption& state)
 {
-    part_map used;
-    const auto keep = [&](const manifest& description)
-    {
-        std::ranges::for_each(named_parts(description, state.parts),
-                              [&](const part_digest& digest)
-                              {
-                                  const auto it = state.parts.find(digest);
-                                  if (it != state.parts.end())
-                                      used.insert(*it);
-                              });
-    };
-    keep(state.held_manifest);
+    std::vector<part_digest> wanted;
     if (state.wanted)
-        keep(*state.wanted);
-    state.parts.swap(used);
+        wanted = named_parts(*state.wanted, state.parts);
+    std::erase_if(state.parts,
+                  [&](const auto& part)
+                  {
+                      return !std::ranges::binary_search(state.complete,
+                                                         part.first) &&
+                             !std::ranges::binary_search(wanted, part.first);
+                  });
 }
 
 } // namespace
@@ -59,22 +54,26 @@
 {
     if (!state.wanted)
         return {};
-    return missing_parts(*state.wanted, state.parts);
+    return missing_parts(*state.wanted, state.parts, true, state.complete);
 }
 
 std::size_t offer_parts(adoption& state, const part_map& arrived)
 {
-    const auto missing = missing_parts(state);
+    std::ranges::for_each(arrived, [](const auto& part)
+                          { check_part(part.first, part.second); });
     std::size_t taken = 0;
-    std::ranges::for_each(
-        arrived,
-        [&](const auto& part)
+    std::size_t before = 0;
+    do
+    {
+        // Pages that were just taken name further parts.
+        before = taken;
+        for (const part_digest& digest : missing_parts(state))
         {
-            const auto& [digest, bytes] = part;
-            check_part(digest, bytes);
-            if (std::ranges::binary_search(missing, digest))
-                taken += state.parts.emplace(digest, bytes).second ? 1 : 0;
-        });
+            const auto it = arrived.find(digest);
+            if (it != arrived.end())
+                taken += state.parts.insert(*it).second ? 1 : 0;
+        }
+    } while (taken > before);
     return taken;
 }
 
@@ -83,9 +82,10 @@
     if (!state.wanted || !missing_parts(state).empty())
         return false;
     const manifest adopted = *std::exchange(state.wanted, std::nullopt);
-    state.held =
-        std::make_shared<const bundle>(decode_bundle(adopted, state.parts));
+    state.held = std::make_shared<const bundle>(
+        decode_bundle(adopted, state.parts, state.with_client_blocks));
     state.held_manifest = adopted;
+    state.complete = named_parts(adopted, state.parts);
     drop_unused_parts(state);
     return true;
 }
--- a/src/config/adoption.hpp
+++ b/src/config/adoption.hpp
@@ -23,9 +23,15 @@
 
 struct adoption
 {
+    // False leaves the client blocks out of the held bundle: 570,000 of them
+    // take more memory than all other state. Their parts are held in any case,
+    // and make_block_table reads these.
+    bool with_client_blocks = true;
     // Null until the first adoption.
     std::shared_ptr<const bundle> held;
     manifest held_manifest;
+    // Sorted digests of the parts of held_manifest, all of them held.
+    std::vector<part_digest> complete;
     // Newer than held_manifest; its parts are not complete yet.
     std::optional<manifest> wanted;
     // Parts of both manifests, to serve peers and to save transfers.
@@ -43,8 +49,8 @@
 std::vector<part_digest> missing_parts(const adoption& state);
 
 // Takes the missing ones of the parts that arrived and returns how many these
-// were. Throws codec_error at the first whose bytes do not have its digest; the
-// others before it are kept.
+// were. Throws codec_error if the bytes of any do not have its digest; then it
+// takes none.
 std::size_t offer_parts(adoption& state, const part_map& arrived);
 
 // Adopts the wanted manifest if all its parts are held, and drops parts that it
--- a/src/config/bundle.cpp
+++ b/src/config/bundle.cpp
@@ -94,23 +94,48 @@
     return content;
 }
 
+void for_each_client_block(const manifest& description, const part_map& parts,
+                           const std::function<void(const client_block&)>& use)
+{
+    const auto* const section =
+        find_section(description, client_blocks_section);
+    if (section != nullptr)
+        for_each_item(section->root, parts,
+                      [&](const msgpack::object& o)
+                      { use(o.as<client_block>()); });
+}
+
+bool same_client_blocks(const manifest& a, const manifest& b)
+{
+    const auto same = [&](const char* name)
+    {
+        const auto* const x = find_section(a, name);
+        const auto* const y = find_section(b, name);
+        return x == y || (x != nullptr && y != nullptr && *x == *y);
+    };
+    return same("regions") && same(client_blocks_section);
+}
+
 std::vector<part_digest> missing_parts(const manifest& description,
                                        const part_map& parts,
-                                       bool with_client_blocks)
+                                       bool with_client_blocks,
+                                       std::span<const part_digest> complete)
 {
     std::set<part_digest> missing;
+    const auto look_at = [&](const part_digest& digest)
+    {
+        if (std::ranges::binary_search(complete, digest))
+            return false;
+        if (!parts.contains(digest))
+            missing.insert(digest);
+        return true;
+    };
     std::ranges::for_each(description.sections,
                           [&](const section_ref& section)
                           {
-                              if (section.name == client_blocks_section &&
-                                  !with_client_blocks)
-                                  return;
-                              for_each_part(section.root, parts,
-                                            [&](const part_digest& digest)
-                                            {
-                                                if (!parts.contains(digest))
-                                                    missing.insert(digest);
-                                            });
+                              if (with_client_blocks ||
+                                  section.name != client_blocks_section)
+                                  for_each_part(section.root, parts, look_at);
                           });
     return {missing.begin(), missing.end()};
 }
@@ -118,15 +143,17 @@
 std::vector<part_digest> named_parts(const manifest& description,
                                      const part_map& parts)
 {
-    std::set<part_digest> named;
-    std::ranges::for_each(description.sections,
-                          [&](const section_ref& section)
-                          {
-                              for_each_part(section.root, parts,
-                                            [&](const part_digest& digest)
-                                            { named.insert(digest); });
-                          });
-    return {named.begin(), named.end()};
+    std::vector<part_digest> named;
+    const auto look_at = [&](const part_digest& digest)
+    {
+        named.push_back(digest);
+        return true;
+    };
+    std::ranges::for_each(description.sections, [&](const section_ref& section)
+                          { for_each_part(section.root, parts, look_at); });
+    std::ranges::sort(named);
+    named.erase(std::unique(named.begin(), named.end()), named.end());
+    return named;
 }
 
 std::string encode_manifest(const manifest& description)
--- a/src/config/bundle.hpp
+++ b/src/config/bundle.hpp
@@ -10,6 +10,8 @@
 #include <parsleyplank/config/section_tree.hpp>
 #include <parsleyplank/core/codec.hpp>
 
+#include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -81,15 +83,27 @@
 bundle decode_bundle(const manifest& description, const part_map& parts,
                      bool with_client_blocks = true);
 
+// Calls the function with each client block of the manifest, in order of the
+// prefix text, without holding all of them. Throws as decode_bundle does.
+void for_each_client_block(const manifest& description, const part_map& parts,
+                           const std::function<void(const client_block&)>& use);
+
+// Returns whether both manifests have the same regions and client blocks, so
+// that a table made from one holds for the other.
+bool same_client_blocks(const manifest& a, const manifest& b);
+
 // Returns the digests of parts that are known to be needed and not held. Pages
 // name further parts, so the caller asks again once it holds these; an empty
-// answer means that all parts are held. Throws codec_error for a damaged page.
-std::vector<part_digest> missing_parts(const manifest& description,
-                                       const part_map& parts,
-                                       bool with_client_blocks = true);
-
-// Returns the digests of all parts that the manifest names, as far as its pages
-// are held. Throws codec_error for a damaged page.
+// answer means that all parts are held. Digests in the sorted list `complete`
+// are not looked below: all parts there are known to be held. Throws
+// codec_error for a damaged page.
+std::vector<part_digest>
+missing_parts(const manifest& description, const part_map& parts,
+              bool with_client_blocks = true,
+              std::span<const part_digest> complete = {});
+
+// Returns the sorted digests of all parts that the manifest names, as far as
+// its pages are held. Throws codec_error for a damaged page.
 std::vector<part_digest> named_parts(const manifest& description,
                                      const part_map& parts);
 
--- a/src/config/section_tree.cpp
+++ b/src/config/section_tree.cpp
@@ -175,9 +175,10 @@
 }
 
 void for_each_part(const part_digest& root, const part_map& parts,
-                   const std::function<void(const part_digest&)>& use)
+                   const std::function<bool(const part_digest&)>& use)
 {
-    use(root);
+    if (!use(root))
+        return;
     const auto it = parts.find(root);
     if (it != parts.end() && kind_of(root, it->second) == part_kind::page)
         for_each_child(root, it->second,
--- a/src/config/section_tree.hpp
+++ b/src/config/section_tree.hpp
@@ -52,9 +52,10 @@
                    const std::function<void(const msgpack::object&)>& use);
 
 // Calls the function with the digest of each part that the tree names, as far
-// as its pages are held. Throws codec_error for a page that does not decode.
+// as its pages are held; leaves out what is below a part if the function
+// returns false. Throws codec_error for a page that does not decode.
 void for_each_part(const part_digest& root, const part_map& parts,
-                   const std::function<void(const part_digest&)>& use);
+                   const std::function<bool(const part_digest&)>& use);
 
 // Throws codec_error that names the digest if the bytes do not have it.
 void check_part(const part_digest& digest, std::string_view bytes);
--- a/src/lookup/block_table.cpp
+++ b/src/lookup/block_table.cpp
@@ -117,6 +117,25 @@
     std::ranges::for_each(list, [&](const key_block<Key>& from)
                           { builder.add(from); });
     builder.end();
+    table.samples.reserve(table.starts.size() / sample_distance + 1);
+    for (std::size_t i = 0; i < table.starts.size(); i += sample_distance)
+        table.samples.push_back(table.starts[i]);
+}
+
+// Returns the position of the last of n sorted keys that is not above the key.
+// Assumes that the first one is not. Has no branch on the keys, which the
+// processor could not predict.
+template <typename Key>
+std::size_t last_not_above(const Key* keys, std::size_t n, Key key)
+{
+    const Key* first = keys;
+    while (n > 1)
+    {
+        const std::size_t half = n / 2;
+        first += first[half] <= key ? half : 0;
+        n -= half;
+    }
+    return static_cast<std::size_t>(first - keys);
 }
 
 template <typename Key>
@@ -124,18 +143,49 @@
 {
     if (table.starts.empty())
         return no_region;
-    const auto it = std::ranges::upper_bound(table.starts, key);
+    const std::size_t from =
+        sample_distance *
+        last_not_above(table.samples.data(), table.samples.size(), key);
+    const std::size_t n = std::min(sample_distance, table.starts.size() - from);
     return table
-        .regions[static_cast<std::size_t>(it - table.starts.begin()) - 1];
+        .regions[from + last_not_above(table.starts.data() + from, n, key)];
 }
 
 template <typename Key>
 std::size_t table_bytes(const range_table<Key>& table)
 {
     return table.starts.capacity() * sizeof(Key) +
-           table.regions.capacity() * sizeof(region_index);
+           table.regions.capacity() * sizeof(region_index) +
+           table.samples.capacity() * sizeof(Key);
 }
 
+// Collects client blocks with the positions of their regions.
+struct block_list
+{
+    std::unordered_map<region_id, region_index> indices;
+    std::vector<block> blocks;
+
+    explicit block_list(const config::bundle& content)
+    {
+        std::ranges::for_each(
+            content.regions,
+            [&](const config::region& v) {
+                indices.emplace(v.id,
+                                static_cast<region_index>(indices.size()));
+            });
+    }
+
+    void add(const config::client_block& v)
+    {
+        const auto it = indices.find(v.region);
+        if (it == indices.end())
+            throw config_error("client block \"" + v.prefix +
+                               "\" is for the unknown region \"" +
+                               v.region.value + "\"");
+        blocks.push_back({config::parse_prefix(v.prefix), it->second});
+    }
+};
+
 } // namespace
 
 block_table::block_table(std::vector<block> blocks)
@@ -169,24 +219,22 @@
 
 block_table make_block_table(const config::bundle& content)
 {
-    std::unordered_map<region_id, region_index> indices;
-    std::ranges::for_each(
-        content.regions, [&](const config::region& v)
-        { indices.emplace(v.id, static_cast<region_index>(indices.size())); });
-    std::vector<block> blocks;
-    blocks.reserve(content.client_blocks.size());
-    std::ranges::transform(
-        content.client_blocks, std::back_inserter(blocks),
-        [&](const config::client_block& v)
-        {
-            const auto it = indices.find(v.region);
-            if (it == indices.end())
-                throw config_error("client block \"" + v.prefix +
-                                   "\" is for the unknown region \"" +
-                                   v.region.value + "\"");
-            return block{config::parse_prefix(v.prefix), it->second};
-        });
-    return block_table(std::move(blocks));
+    block_list list(content);
+    list.blocks.reserve(content.client_blocks.size());
+    std::ranges::for_each(content.client_blocks,
+                          [&](const config::client_block& v) { list.add(v); });
+    return block_table(std::move(list.blocks));
+}
+
+block_table make_block_table(const config::bundle& content,
+                             const config::manifest& description,
+                             const config::part_map& parts)
+{
+    block_list list(content);
+    config::for_each_client_block(description, parts,
+                                  [&](const config::client_block& v)
+                                  { list.add(v); });
+    return block_table(std::move(list.blocks));
 }
 
 } // namespace parsleyplank::lookup
--- a/src/lookup/block_table.hpp
+++ b/src/lookup/block_table.hpp
@@ -5,6 +5,7 @@
 // flattened at build time into disjoint ranges in sorted arrays, so a look-up
 // is one binary search. Immutable after build; any thread may read it.
 
+#include <parsleyplank/config/bundle.hpp>
 #include <parsleyplank/config/ip_prefix.hpp>
 #include <parsleyplank/config/model.hpp>
 
@@ -35,8 +36,12 @@
 {
     std::vector<Key> starts;
     std::vector<region_index> regions;
+    // Every sample_distance-th start; small enough for the processor's cache.
+    std::vector<Key> samples;
 };
 
+inline constexpr std::size_t sample_distance = 32;
+
 class block_table
 {
 public:
@@ -63,6 +68,12 @@
 // is not a prefix or its region is unknown.
 block_table make_block_table(const config::bundle& content);
 
+// As above, from the parts of a configuration; the bundle need not hold the
+// client blocks. Throws codec_error if a part is missing or damaged.
+block_table make_block_table(const config::bundle& content,
+                             const config::manifest& description,
+                             const config::part_map& parts);
+
 } // namespace parsleyplank::lookup
 
 #endif
--- a/src/lookup/instance_rank.cpp
+++ b/src/lookup/instance_rank.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <numeric>
 
@@ -57,16 +58,14 @@
 // Returns the candidates of a region, best first, at most `limit`.
 std::vector<candidate>
 region_candidates(std::span<const live_instance> instances,
-                  const region_id& region, const rank_request& request,
-                  std::size_t limit)
+                  const rank_request& request, std::size_t limit)
 {
     std::vector<candidate> list;
-    std::ranges::for_each(instances,
-                          [&](const live_instance& v)
-                          {
-                              if (v.region == region && !v.leaving)
-                                  list.push_back({&v, std::max(v.weight, 0.0)});
-                          });
+    list.reserve(instances.size());
+    std::ranges::transform(instances, std::back_inserter(list),
+                           [](const live_instance& v) {
+                               return candidate{&v, std::max(v.weight, 0.0)};
+                           });
     if (request.customer)
         prefer_holders(list, *request.customer);
     if (std::ranges::none_of(list,
@@ -116,16 +115,30 @@
 
 } // namespace
 
-std::vector<ranked_instance>
-rank_instances(std::span<const live_instance> instances,
-               const rank_request& request)
+regional_instances group_by_region(std::span<const live_instance> instances)
+{
+    regional_instances groups;
+    std::ranges::for_each(instances,
+                          [&](const live_instance& v)
+                          {
+                              if (!v.leaving)
+                                  groups[v.region].push_back(v);
+                          });
+    return groups;
+}
+
+std::vector<ranked_instance> rank_instances(const regional_instances& instances,
+                                            const rank_request& request)
 {
     std::vector<ranked_instance> ranked;
     std::ranges::for_each(
         request.regions,
         [&](const region_id& region)
         {
-            auto list = region_candidates(instances, region, request,
+            const auto it = instances.find(region);
+            if (it == instances.end() || ranked.size() >= request.limit)
+                return;
+            auto list = region_candidates(it->second, request,
                                           request.limit - ranked.size());
             if (ranked.empty() && !list.empty())
                 round_weights(list);
--- a/src/lookup/instance_rank.hpp
+++ b/src/lookup/instance_rank.hpp
@@ -31,6 +31,12 @@
     std::map<customer_id, share_ppm> customer_shares;
 };
 
+// Instances by region, so that a request looks at few regions only.
+using regional_instances = std::map<region_id, std::vector<live_instance>>;
+
+// Returns the instances by region. Leaves out those that are leaving.
+regional_instances group_by_region(std::span<const live_instance> instances);
+
 struct ranked_instance
 {
     instance_id id;
@@ -59,9 +65,8 @@
 // first region that has any, whose weights sum to 1,000, then those of the
 // other regions in order with weight 0. Within a region by falling weight.
 // Empty if there is none.
-std::vector<ranked_instance>
-rank_instances(std::span<const live_instance> instances,
-               const rank_request& request);
+std::vector<ranked_instance> rank_instances(const regional_instances& instances,
+                                            const rank_request& request);
 
 } // namespace parsleyplank::lookup
 
--- a/src/lookup/lookup.cpp
+++ b/src/lookup/lookup.cpp
@@ -129,20 +129,23 @@
 
 std::string to_json(const lookup_response& response)
 {
-    auto list = nlohmann::json::array();
+    // Members are set one by one: initializer lists copy every value.
+    nlohmann::ordered_json body;
+    body["region"] = response.region.value;
+    body["epoch"] = response.epoch.value;
+    body["ttl_ms"] = response.ttl.count();
+    auto& list = body["instances"] = nlohmann::ordered_json::array();
     std::ranges::for_each(response.instances,
                           [&](const ranked_instance& v)
                           {
-                              list.push_back({{"id", v.id.value},
-                                              {"address", v.address},
-                                              {"port", v.port},
-                                              {"region", v.region.value},
-                                              {"weight", v.weight}});
+                              auto& item = list.emplace_back(
+                                  nlohmann::ordered_json::object());
+                              item["id"] = v.id.value;
+                              item["address"] = v.address;
+                              item["port"] = v.port;
+                              item["region"] = v.region.value;
+                              item["weight"] = v.weight;
                           });
-    const nlohmann::json body{{"region", response.region.value},
-                              {"epoch", response.epoch.value},
-                              {"ttl_ms", response.ttl.count()},
-                              {"instances", list}};
     return body.dump();
 }
 
--- a/src/lookup/lookup.hpp
+++ b/src/lookup/lookup.hpp
@@ -35,7 +35,7 @@
 {
     std::shared_ptr<const config::bundle> content;
     std::shared_ptr<const block_table> blocks;
-    std::vector<live_instance> instances;
+    regional_instances instances;
 };
 
 struct lookup_response
--- a/test/correctness/lookup_blocks.cpp
+++ b/test/correctness/lookup_blocks.cpp
@@ -1,6 +1,8 @@
 // Guards the block table against a wrong longest prefix: it has to agree with a
 // linear search over the prefixes.
 
+#include "support/sample_bundle.hpp"
+#include <parsleyplank/config/adoption.hpp>
 #include <parsleyplank/core/error.hpp>
 #include <parsleyplank/lookup/block_table.hpp>
 
@@ -66,6 +68,7 @@
     CPPUNIT_TEST(long_ipv6_prefixes_agree_with_linear_search);
     CPPUNIT_TEST(ends_of_the_address_space_are_covered);
     CPPUNIT_TEST(prefixes_are_parsed_strictly);
+    CPPUNIT_TEST(parts_give_the_same_table_as_the_bundle);
     CPPUNIT_TEST_SUITE_END();
 
     static void compare_with_linear(bool v6, unsigned longest)
@@ -143,6 +146,33 @@
             config::parse_address(std::string_view("10.0.0.1\0x", 10)),
             config_error);
     }
+
+    // Instances hold the parts and leave the client blocks out of the bundle.
+    void parts_give_the_same_table_as_the_bundle()
+    {
+        auto content = test::sample_bundle();
+        content.client_blocks = test::sample_blocks(1'000);
+        const auto encoded = config::encode_bundle(content);
+        config::adoption state;
+        state.with_client_blocks = false;
+        offer_manifest(state, {{{epoch(1), "", ""}}, encoded.sections});
+        offer_parts(state, encoded.parts);
+        CPPUNIT_ASSERT(try_adopt(state));
+        CPPUNIT_ASSERT(state.held->client_blocks.empty());
+        const auto table =
+            make_block_table(*state.held, state.held_manifest, state.parts);
+        const auto expected = make_block_table(content);
+        for (std::uint64_t at = 0; at < 1'100; ++at)
+        {
+            const ip_address address{false, 0, (16U << 24U) + (at << 8U)};
+            CPPUNIT_ASSERT_EQUAL(expected.find(address), table.find(address));
+        }
+        auto other = state.held_manifest;
+        CPPUNIT_ASSERT(config::same_client_blocks(other, state.held_manifest));
+        content.client_blocks.pop_back();
+        other.sections = config::encode_bundle(content).sections;
+        CPPUNIT_ASSERT(!config::same_client_blocks(other, state.held_manifest));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(lookup_blocks);
--- a/test/correctness/lookup_response.cpp
+++ b/test/correctness/lookup_response.cpp
@@ -47,9 +47,11 @@
     CPPUNIT_TEST_SUITE_END();
 
     lookup_snapshot snapshot;
+    std::vector<live_instance> instances;
 
     lookup_response look_up(const char* query)
     {
+        snapshot.instances = group_by_region(instances);
         return answer_lookup(snapshot, parse_lookup(query));
     }
 
@@ -75,8 +77,8 @@
             std::make_shared<const block_table>(make_block_table(content));
         snapshot.content =
             std::make_shared<const config::bundle>(std::move(content));
-        snapshot.instances = {instance("n1", "north"), instance("n2", "north"),
-                              instance("s1", "south")};
+        instances = {instance("n1", "north"), instance("n2", "north"),
+                     instance("s1", "south")};
     }
 
     void own_region_gets_all_weight_and_fallbacks_follow()
@@ -96,7 +98,7 @@
 
     void leaving_instances_are_excluded()
     {
-        snapshot.instances[0].leaving = true;
+        instances[0].leaving = true;
         const auto response = look_up("client=10.0.3.4");
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, response.instances.size());
         CPPUNIT_ASSERT(response.instances[0].id == instance_id("n2"));
@@ -105,22 +107,22 @@
 
     void region_without_instances_is_served_from_elsewhere()
     {
-        snapshot.instances[0].leaving = true;
-        snapshot.instances[1].leaving = true;
+        instances[0].leaving = true;
+        instances[1].leaving = true;
         CPPUNIT_ASSERT_EQUAL(1'000U,
                              look_up("client=10.0.3.4").instances[0].weight);
-        snapshot.instances = {instance("n1", "north")};
+        instances = {instance("n1", "north")};
         const auto response = look_up("client=192.0.2.1");
         CPPUNIT_ASSERT_EQUAL(std::string("south"), response.region.value);
         CPPUNIT_ASSERT_EQUAL(1'000U, response.instances.at(0).weight);
-        snapshot.instances.clear();
+        instances.clear();
         CPPUNIT_ASSERT(look_up("client=10.0.3.4").instances.empty());
     }
 
     void holders_of_a_customers_share_are_preferred()
     {
-        snapshot.instances[0].customer_shares[customer_id("a")] = {100'000};
-        snapshot.instances[1].customer_shares[customer_id("a")] = {300'000};
+        instances[0].customer_shares[customer_id("a")] = {100'000};
+        instances[1].customer_shares[customer_id("a")] = {300'000};
         const auto list = look_up("client=10.0.3.4&customer=a").instances;
         CPPUNIT_ASSERT(list[0].id == instance_id("n2"));
         CPPUNIT_ASSERT_EQUAL(750U, list[0].weight);
@@ -133,12 +135,12 @@
     {
         for (std::size_t n = 1; n <= 10; ++n)
         {
-            snapshot.instances.clear();
+            instances.clear();
             for (std::size_t i = 0; i < n; ++i)
             {
                 auto v = instance("n" + std::to_string(i), "north");
                 v.weight = 1.0 / static_cast<double>(3 + i);
-                snapshot.instances.push_back(v);
+                instances.push_back(v);
             }
             CPPUNIT_ASSERT_EQUAL(
                 1'000U, weight_sum(look_up("client=10.0.3.4").instances));
@@ -147,10 +149,9 @@
 
     void callers_spread_over_a_large_region()
     {
-        snapshot.instances.clear();
+        instances.clear();
         for (int i = 0; i < 40; ++i)
-            snapshot.instances.push_back(
-                instance("n" + std::to_string(i), "north"));
+            instances.push_back(instance("n" + std::to_string(i), "north"));
         std::set<instance_id> seen;
         for (int i = 0; i < 30; ++i)
         {
@@ -167,11 +168,11 @@
 
     void response_is_json()
     {
-        snapshot.instances = {instance("n1", "north")};
+        instances = {instance("n1", "north")};
         CPPUNIT_ASSERT_EQUAL(
-            std::string(R"({"epoch":9,"instances":[{"address":"127.0.0.1",)"
-                        R"("id":"n1","port":8000,"region":"north",)"
-                        R"("weight":1000}],"region":"north","ttl_ms":5000})"),
+            std::string(R"({"region":"north","epoch":9,"ttl_ms":5000,)"
+                        R"("instances":[{"id":"n1","address":"127.0.0.1",)"
+                        R"("port":8000,"region":"north","weight":1000}]})"),
             to_json(look_up("client=%31%30.0.3.4")));
         CPPUNIT_ASSERT_EQUAL(std::string("{\"error\":\"a\\\"\xEF\xBF\xBD\"}"),
                              error_json("a\"\xFF"));
--- a/test/performance/config_size.cpp
+++ b/test/performance/config_size.cpp
@@ -91,6 +91,48 @@
           100.0 * static_cast<double>(found) / look_ups, "%");
 }
 
+// Measures what an instance does to take over one change.
+void measure_adoption(const std::string& name, const config::bundle& content,
+                      const config::bundle& changed)
+{
+    const auto deliver =
+        [](config::adoption& state, const config::bundle& v, std::uint64_t n)
+    {
+        const auto encoded = config::encode_bundle(v);
+        double spent = 0;
+        config::manifest description{{{epoch(n), "", ""}}, encoded.sections};
+        spent += milliseconds_of([&] { offer_manifest(state, description); });
+        for (bool done = false; !done;)
+        {
+            config::part_map asked;
+            spent += milliseconds_of(
+                [&]
+                {
+                    for (const auto& digest : missing_parts(state))
+                        asked.emplace(digest, encoded.parts.at(digest));
+                });
+            spent += milliseconds_of(
+                [&]
+                {
+                    offer_parts(state, asked);
+                    done = try_adopt(state);
+                });
+        }
+        return spent;
+    };
+    config::adoption state;
+    state.with_client_blocks = false;
+    deliver(state, content, 1);
+    print(name + ": adopt", deliver(state, changed, 2), "ms");
+    print(name + ": block table from parts",
+          milliseconds_of(
+              [&] {
+                  lookup::make_block_table(*state.held, state.held_manifest,
+                                           state.parts);
+              }),
+          "ms");
+}
+
 void print_new_parts(const std::string& name, const config::part_map& before,
                      const config::encoded_bundle& after)
 {
@@ -135,7 +177,11 @@
           static_cast<double>(parts) / samples, "");
     print("one changed block: bytes of parts, mean of 50",
           static_cast<double>(bytes) / samples, "bytes");
+    changed.client_blocks.back().region = changed.regions[0].id;
+    measure_adoption("one changed block", content, changed);
+    changed = content;
     changed.keys.pop_back();
+    measure_adoption("withdrawn key", content, changed);
     print_new_parts("withdrawn key", encoded.parts,
                     config::encode_bundle(changed));
 }
@@ -189,36 +235,48 @@
     auto content = large_bundle(57'000, false);
     snapshot.blocks = std::make_shared<const lookup::block_table>(
         lookup::make_block_table(content));
+    std::vector<lookup::live_instance> instances;
     for (std::size_t i = 0; i < 96 * region_count; ++i)
-        snapshot.instances.push_back({instance_id("entry-" + std::to_string(i)),
-                                      content.regions[i % region_count].id,
-                                      "127.0.0.1",
-                                      8'000,
-                                      false,
-                                      1,
-                                      {}});
+        instances.push_back({instance_id("entry-" + std::to_string(i)),
+                             content.regions[i % region_count].id,
+                             "127.0.0.1",
+                             8'000,
+                             false,
+                             1,
+                             {}});
+    snapshot.instances = lookup::group_by_region(instances);
     snapshot.content = std::make_shared<const config::bundle>(content);
-    constexpr std::size_t answers = 2'000;
+    constexpr std::size_t answers = 20'000;
+    lookup::lookup_response response;
+    spent = milliseconds_of(
+        [&]
+        {
+            for (std::size_t i = 0; i < answers; ++i)
+                response = lookup::answer_lookup(
+                    snapshot, lookup::parse_lookup("client=16.0.0.1"));
+        });
+    print("lookup: parse and answer, 96 instances a region",
+          spent * 1e6 / answers, "ns");
     spent = milliseconds_of(
         [&]
         {
             for (std::size_t i = 0; i < answers; ++i)
-                found +=
-                    lookup::to_json(
-                        lookup::answer_lookup(
-                            snapshot, lookup::parse_lookup("client=16.0.0.1")))
-                        .size();
+                found += lookup::to_json(response).size();
         });
-    print("lookup of 2,304 instances, parse to JSON", spent * 1e6 / answers,
-          "ns");
+    print("lookup: JSON of 10 instances", spent * 1e6 / answers, "ns");
     if (found == 0)
         std::cout << "nothing was found\n";
 }
 
 } // namespace
 
-int main()
+int main(int argc, char** argv)
 {
+    if (argc > 1 && std::string(argv[1]) == "requests")
+    {
+        measure_requests();
+        return 0;
+    }
     for (const std::size_t n : {5'700UL, 57'000UL, 570'000UL})
     {
         std::cout << n << " IPv4 blocks\n";
