--- a/src/config/publish.cpp
+++ b/src/config/publish.cpp
@@ -170,6 +170,18 @@
                            to_string(problems));
 }
 
+// Publishing the files of one deployment to the store of another is an
+// operator's slip that would stop all service.
+void require_same_fleet(const bundle& in_force, const bundle& content)
+{
+    const std::string& name = in_force.settings.name;
+    if (!name.empty() && name != content.settings.name)
+        throw config_error("the configuration in force is that of fleet \"" +
+                           name + "\", the new one is for fleet \"" +
+                           content.settings.name +
+                           "\"; check the store and the files");
+}
+
 const part_digest& root_of(const std::vector<section_ref>& sections,
                            std::string_view name)
 {
@@ -281,6 +293,7 @@
               const publish_limits& limits)
 {
     require_valid(content);
+    require_same_fleet(base.content, content);
     const auto encoded = encode_bundle(content);
     write_parts(store, encoded.parts, base, limits);
     const auto next = successor(base.description, encoded.sections, by);
--- a/src/config/publish.hpp
+++ b/src/config/publish.hpp
@@ -71,7 +71,8 @@
 
 // Publishes the content as the successor of `base` and returns its epoch, which
 // is that of base plus 1.
-// Throws config_error with all problems if the content is not valid,
+// Throws config_error with all problems if the content is not valid or is for a
+// fleet of another name,
 // publish_conflict if base is no longer in force, store_unavailable if nothing
 // was published, store_outcome_unknown if that could not be found out.
 epoch publish(store::kv_store& store, const published& base,
--- a/test/failure/config_publish.cpp
+++ b/test/failure/config_publish.cpp
@@ -293,6 +293,9 @@
     {
         content.routes[0].upstream = upstream_id("nowhere");
         CPPUNIT_ASSERT_THROW(publish_as("anna", "mine"), config_error);
+        content = test::sample_bundle();
+        content.settings.name = "another fleet";
+        CPPUNIT_ASSERT_THROW(publish_as("anna", "mine"), config_error);
         CPPUNIT_ASSERT(load_bundle(store).epoch == epoch(1));
     }
 
