--- a/test/correctness/dataplane_http_front.cpp
+++ b/test/correctness/dataplane_http_front.cpp
@@ -111,6 +111,7 @@
             const auto got = inbox.take();
             std::atomic<int> accepted = 0;
             std::vector<std::thread> threads;
+            threads.reserve(4);
             for (int i = 0; i < 4; ++i)
                 threads.emplace_back(
                     [&]
--- a/test/correctness/dataplane_key_secrecy.cpp
+++ b/test/correctness/dataplane_key_secrecy.cpp
@@ -32,12 +32,12 @@
     test::backend_server server{{}};
     backend_client client{{}};
     http_front front{{},
-                     [this](inbound_request request, responder answer)
+                     [this](inbound_request request, const responder& answer)
                      {
-                         forward(std::move(request), std::move(answer));
+                         forward(std::move(request), answer);
                      }};
 
-    void forward(inbound_request request, responder answer)
+    void forward(inbound_request request, const responder& answer)
     {
         const auto* given = find_header(request.headers, "x-api-key");
         const std::string its_key = given == nullptr ? "" : *given;
--- a/test/correctness/placement_server_choice.cpp
+++ b/test/correctness/placement_server_choice.cpp
@@ -24,6 +24,7 @@
 std::vector<backend_server_id> make_servers(int n)
 {
     std::vector<backend_server_id> servers;
+    servers.reserve(n);
     for (int i = 0; i < n; ++i)
         servers.emplace_back("s" + std::to_string(i));
     return servers;
--- a/test/correctness/placement_shift.cpp
+++ b/test/correctness/placement_shift.cpp
@@ -41,7 +41,7 @@
     CPPUNIT_TEST(target_follows_preference_and_capacity);
     CPPUNIT_TEST_SUITE_END();
 
-    const shift_options options;
+    shift_options options;
     std::mt19937_64 rng{7};
 
     static std::uint32_t sum(const region_weights& weights)
--- a/test/standin/backend/backend_switches.cpp
+++ b/test/standin/backend/backend_switches.cpp
@@ -130,8 +130,9 @@
         }
         catch (const std::exception& ec)
         {
-            throw std::invalid_argument("switch " + name + "=" + text + ": " +
-                                        ec.what());
+            std::string message = "switch " + name;
+            message.append("=").append(text).append(": ").append(ec.what());
+            throw std::invalid_argument(message);
         }
     }
     switches = changed;
