--- a/src/dataplane/front_connection.cpp
+++ b/src/dataplane/front_connection.cpp
@@ -16,8 +16,8 @@
 
 namespace http = Pistache::Http;
 
-// A body that arrives slower than this gives its memory back.
-constexpr std::uint64_t least_body_rate = 16'384; // bytes per second
+// A body that arrives or leaves slower than this gives its memory back.
+constexpr std::uint64_t least_rate = 16'384; // bytes per second
 
 time_point now()
 {
@@ -194,7 +194,7 @@
     close_after = !head.keep_alive;
     body_left = head.content_length;
     body_limit = last_input + core->options.body_timeout +
-                 std::chrono::seconds(body_left / least_body_rate);
+                 std::chrono::seconds(body_left / least_rate);
     now_in = phase::body;
 }
 
@@ -228,6 +228,8 @@
     inbound_request taken;
     {
         const std::lock_guard lock(mutex);
+        if (has_ended)
+            return;
         taken = std::exchange(request, {});
     }
     if (const auto it = peer.lock())
@@ -278,8 +280,9 @@
     for (const auto& field : response.headers)
         add_header(writer, field);
     add_header(writer, {"Connection", close ? "close" : "keep-alive"});
-    if (queued_writes++ == 0)
-        write_start = now();
+    ++queued_writes;
+    write_limit = now() + core->options.write_timeout +
+                  std::chrono::seconds(response.body.size() / least_rate);
     add_to(*core, &front_core::pending_writes, 1);
     return writer.send(static_cast<http::Code>(response.status),
                        wants_body ? response.body : std::string());
@@ -300,6 +303,9 @@
         if (has_ended)
             return;
         --queued_writes;
+        // The time that the caller gets to close starts here.
+        if (now_in == phase::finished)
+            phase_start = now();
         // Only the sending side: closing both while the caller still sends
         // would reset the connection before the caller has read the response.
         if (close)
@@ -322,8 +328,8 @@
 bool front_connection::has_timed_out(time_point now) const
 {
     const auto& options = core->options;
-    if (queued_writes > 0 && now - write_start > options.write_timeout)
-        return true;
+    if (queued_writes > 0)
+        return now > write_limit;
     switch (now_in)
     {
     case phase::idle:
--- a/src/dataplane/front_connection.hpp
+++ b/src/dataplane/front_connection.hpp
@@ -124,7 +124,7 @@
     time_point phase_start;
     time_point last_input;
     time_point body_limit;
-    time_point write_start;
+    time_point write_limit;
 };
 
 } // namespace parsleyplank::dataplane
--- a/src/dataplane/http_front.hpp
+++ b/src/dataplane/http_front.hpp
@@ -36,12 +36,13 @@
     std::size_t max_body_memory = 200'000'000;
     // From the first byte of a request to the end of its headers.
     milliseconds head_timeout{10'000};
-    // Longest time without a further byte of the body.
+    // Longest time without a further byte of the body. A whole body may take
+    // this time plus one second for each 16 KiB.
     milliseconds body_timeout{10'000};
     // Between two requests of a connection.
     milliseconds idle_timeout{60'000};
-    // Until a caller has taken its response, and until it closes a connection
-    // that this server has finished with.
+    // Until a caller has taken its response, plus one second for each 16 KiB of
+    // it; and until it closes a connection that this server has finished with.
     milliseconds write_timeout{30'000};
 };
 
