--- a/test/support/event_queue.hpp
+++ b/test/support/event_queue.hpp
@@ -5,6 +5,7 @@
 
 #include <parsleyplank/core/clock.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <utility>
