--- a/src/quota/exchange.cpp
+++ b/src/quota/exchange.cpp
@@ -16,7 +16,6 @@
 // Longest time without any demand message: its number dates loans.
 constexpr milliseconds demand_interval{400};
 constexpr milliseconds ask_lifetime{300};
-constexpr milliseconds ask_interval{25};
 // Loans are extended when less than this part of their duration is left.
 constexpr double extend_below = 0.7;
 // Differences below this part of the lender's home rate are left alone.
@@ -26,9 +25,11 @@
 // Time of missing rate for which a borrower asks tokens, in seconds: a round
 // trip between regions, a tick, and a half more.
 constexpr double ask_span = 0.4;
-constexpr std::size_t peers_per_ask = 5;
+constexpr std::size_t peers_per_ask = 9;
 // Smallest number of tokens worth a message.
 constexpr double least_ask = 0.2;
+// Part of a loan of tokens below which it counts as spent.
+constexpr double spent_below = 0.1;
 constexpr std::size_t remembered_numbers = 64;
 
 bool is_recent(const peer_need& need, time_point now)
@@ -214,12 +215,32 @@
     }
 }
 
+void return_spent(quota_state& state, customer_state& customer,
+                  exchange_round& round, time_point now)
+{
+    for (std::size_t i = 0; i < state.peers.size(); ++i)
+    {
+        const auto& lender = state.peers[i].who;
+        std::vector<std::uint64_t> spent;
+        for (const auto& it : customer.pool.borrowed)
+            if (it.lender == lender && it.bucket.rate.value <= 0 &&
+                it.bucket.level < it.bucket.burst * spent_below)
+                spent.push_back(it.number);
+        for (const auto number : spent)
+        {
+            round.returns[i].lender = lender.life;
+            round.returns[i].items.push_back(
+                give_back(customer.pool, lender, number, 1, now));
+        }
+    }
+}
+
 void ask_peers(quota_state& state, customer_state& customer,
                std::uint32_t waiting, exchange_round& round, time_point now)
 {
     std::erase_if(customer.asks,
                   [&](const open_ask& it) { return it.until <= now; });
-    if (now < customer.next_ask || !state.settings.ask_on_need)
+    if (!state.settings.ask_on_need)
         return;
     const bool usable = home_usable(state, now);
     const double demand = per_second(customer.estimate);
@@ -251,7 +272,6 @@
         customer.asks.push_back(
             {peer, state.next_request, count, now + ask_lifetime});
         customer.needs[peer].spare -= count;
-        customer.next_ask = now + ask_interval;
         need -= count;
     }
 }
--- a/src/quota/exchange.hpp
+++ b/src/quota/exchange.hpp
@@ -51,6 +51,11 @@
                     const rate_plan& plan, exchange_round& round,
                     time_point now);
 
+// Returns loans of tokens that are spent: their burst lets the lender's home
+// bucket fill again.
+void return_spent(quota_state& state, customer_state& customer,
+                  exchange_round& round, time_point now);
+
 // Asks the peers with most spare tokens if this instance will run short.
 void ask_peers(quota_state& state, customer_state& customer,
                std::uint32_t waiting, exchange_round& round, time_point now);
--- a/src/quota/quota_state.cpp
+++ b/src/quota/quota_state.cpp
@@ -64,6 +64,15 @@
     return !pool.lent.empty() || !pool.ended.empty();
 }
 
+// A bucket of a few tokens that is split by demand leaves parts that can't
+// admit a request and overflow; small customers use tokens on need only.
+bool worth_lending(const quota_state& state, const customer_state& customer)
+{
+    const auto n = static_cast<double>(state.peers.size() + 1);
+    return customer.pool.limits.burst.value >=
+           n * state.settings.least_home_burst;
+}
+
 // Returns the share that can be given away without touching loans.
 std::uint32_t free_share(const quota_state& state)
 {
@@ -92,7 +101,8 @@
                  admission& result)
 {
     auto round = begin_round(state);
-    ask_peers(state, customer, position, round, now);
+    ask_peers(state, customer, std::max(position, customer.waiting), round,
+              now);
     send_round(state, round, result.messages, now);
     const bool usable = home_usable(state, now);
     const auto latest = since + state.settings.borrow_wait;
@@ -306,7 +316,7 @@
     {
         settle(it.pool, now);
         update(it.estimate, now);
-        if (state.settings.lend_ahead)
+        if (state.settings.lend_ahead && worth_lending(state, it))
         {
             const auto plan = plan_rates(state, it, now);
             if (state.settings.return_early)
@@ -314,6 +324,8 @@
             if (lends)
                 lend_ahead(state, it, plan, round, now);
         }
+        if (state.settings.return_early)
+            return_spent(state, it, round, now);
         ask_peers(state, it, it.waiting, round, now);
         if (it.waiting > 0)
             output.ready.push_back(it.pool.limits.customer);
--- a/src/quota/quota_state.hpp
+++ b/src/quota/quota_state.hpp
@@ -31,9 +31,12 @@
     milliseconds loan_duration{2'000};
     // Duration of loans of tokens only. They are meant for requests that wait,
     // and the lender's burst is reduced while they last.
-    milliseconds token_loan_duration{500};
+    milliseconds token_loan_duration{1'000};
     // Requests for tokens per second, over all customers and peers.
-    double asks_per_second = 50;
+    double asks_per_second = 100;
+    // Rate is lent ahead for customers whose burst divided by the instances is
+    // at least this many tokens.
+    double least_home_burst = 15;
     // Each mechanism can be turned off for comparison.
     bool lend_ahead = true;
     bool extend_loans = true;
@@ -74,7 +77,6 @@
     std::vector<open_ask> asks;
     // Requests that wait for tokens.
     std::uint32_t waiting = 0;
-    time_point next_ask;
     // Figures last told, and when.
     double told_demand = 0;
     double told_spare = 0;
--- a/test/performance/quota_lending.cpp
+++ b/test/performance/quota_lending.cpp
@@ -48,6 +48,7 @@
     quota_settings plain;
     plain.ask_on_need = plain.extend_loans = plain.return_early = false;
     plain.borrow_wait = milliseconds(0);
+    plain.least_home_burst = 0;
     return {{"even split", even}, {"plain 2 s loans", plain}, {"full", {}}};
 }
 
@@ -173,8 +174,6 @@
                                  static_cast<double>(arrivals[c].size()));
         result.ideal.push_back(
             central_refusals(arrivals[c], fleet.customers[c], start));
-        // In T = one burst's refill time the bound is twice the burst; the
-        // figure is (admissions - R T) / B at its largest.
         result.worst_window =
             std::max(result.worst_window, fleet.window_use_of(c));
     }
