--- a/test/support/quota_fleet.hpp
+++ b/test/support/quota_fleet.hpp
@@ -207,6 +207,7 @@
                         on_message(nodes[to].state, sender, body, now);
                     send(to, output.messages);
                     wake(to, output.ready);
+                    measure_sums();
                 });
     }
 
@@ -225,6 +226,38 @@
                           customers[customer].burst);
     }
 
+    // Notes how much of its rate and burst each customer's buckets hold in the
+    // whole fleet at this instant; above 1 means that something was counted
+    // twice. Buckets that can't be used now do not count.
+    void measure_sums()
+    {
+        for (std::size_t c = 0; c < customers.size(); ++c)
+        {
+            double rate = 0;
+            double burst = 0;
+            for (const auto& it : nodes)
+            {
+                if (!it.alive || it.state.customers.size() <= c)
+                    continue;
+                const auto& pool = it.state.customers[c].pool;
+                if (home_usable(it.state, now))
+                {
+                    rate += pool.home.rate.value;
+                    burst += pool.home.burst.value;
+                }
+                for (const auto& loan : pool.borrowed)
+                    if (loan.end > now)
+                    {
+                        rate += loan.bucket.rate.value;
+                        burst += loan.bucket.burst.value;
+                    }
+            }
+            const auto& limits = customers[c];
+            largest_sum = std::max({largest_sum, rate / limits.rate.value,
+                                    burst / limits.burst.value});
+        }
+    }
+
     void refresh(std::size_t i)
     {
         auto& it = nodes[i];
@@ -247,6 +280,7 @@
     std::vector<node> nodes;
     std::vector<std::uint64_t> lives;
     std::vector<request_record> records;
+    double largest_sum = 0;
     time_point now{std::chrono::hours(1)};
 
 private:
@@ -280,6 +314,7 @@
                     auto output = tick(nodes[i].state, now);
                     send(i, output.messages);
                     wake(i, output.ready);
+                    measure_sums();
                     at(now + milliseconds(200),
                        [this, i, life] { run_tick(i, life); });
                 });
