--- a/test/support/quota_fleet.hpp
+++ b/test/support/quota_fleet.hpp
@@ -183,7 +183,8 @@
 
     // Runs on the instance, after its pause if it is paused, unless this life
     // of it has ended.
-    void on_node(std::size_t i, std::uint64_t life, std::function<void()> run)
+    void on_node(std::size_t i, std::uint64_t life,
+                 const std::function<void()>& run)
     {
         auto& it = nodes[i];
         if (!it.alive || lives[i] != life)
@@ -195,11 +196,8 @@
             run();
     }
 
-    // Delivers a message that the test has made or kept.
-    void deliver(std::size_t from, std::size_t to, const member& sender,
-                 const message_body& body)
+    void deliver(std::size_t to, const member& sender, const message_body& body)
     {
-        (void)from;
         on_node(to, lives[to],
                 [this, to, sender, body]
                 {
@@ -207,6 +205,7 @@
                         on_message(nodes[to].state, sender, body, now);
                     send(to, output.messages);
                     wake(to, output.ready);
+                    measure_sums();
                 });
     }
 
@@ -225,6 +224,39 @@
                           customers[customer].burst);
     }
 
+    // Notes how much of its rate and burst each customer's buckets hold in the
+    // whole fleet at this instant; above 1 means that something was counted
+    // twice. Buckets that can't be used now do not count.
+    void measure_sums()
+    {
+        for (std::size_t c = 0; c < customers.size(); ++c)
+        {
+            double rate = 0;
+            double burst = 0;
+            for (const auto& it : nodes)
+            {
+                if (!it.alive || it.state.customers.size() <= c)
+                    continue;
+                const auto& pool = it.state.customers[c].pool;
+                if (home_usable(it.state, now))
+                {
+                    rate += pool.home.rate.value;
+                    burst += pool.home.burst.value;
+                }
+                for (const auto& loan : pool.borrowed)
+                    if (loan.end > now)
+                    {
+                        rate += loan.bucket.rate.value;
+                        burst += loan.bucket.burst.value;
+                    }
+            }
+            const auto& limits = customers[c];
+            largest_sum = std::max({largest_sum, rate / limits.rate.value,
+                                    burst / limits.burst.value});
+        }
+    }
+
+    // Reads the share table and confirms it, unless the store is cut off.
     void refresh(std::size_t i)
     {
         auto& it = nodes[i];
@@ -247,6 +279,7 @@
     std::vector<node> nodes;
     std::vector<std::uint64_t> lives;
     std::vector<request_record> records;
+    double largest_sum = 0;
     time_point now{std::chrono::hours(1)};
 
 private:
@@ -280,6 +313,7 @@
                     auto output = tick(nodes[i].state, now);
                     send(i, output.messages);
                     wake(i, output.ready);
+                    measure_sums();
                     at(now + milliseconds(200),
                        [this, i, life] { run_tick(i, life); });
                 });
@@ -354,7 +388,7 @@
             0, faults.jitter.count());
         const auto sender = who(from);
         at(now + base + milliseconds(extra(random)),
-           [this, from, to, sender, body] { deliver(from, to, sender, body); });
+           [this, to, sender, body] { deliver(to, sender, body); });
     }
 
     // Size of {from instance, incarnation, sequence, kind} on the wire.
