Run rollouts in the entry process

Requests draw a version by the share in force; results are recorded by route and version. Any instance brakes on its own evidence, tells its peers and writes the roll-back; the leader by rendezvous order advances the share. Client blocks are read from the parts of the configuration.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -71,8 +71,8 @@
         snapshot, std::mt19937_64(hash64(config.id.value, config.life.value))});
     backends = std::make_unique<dataplane::backend_client>(
         dataplane::client_options{});
-    flow = std::make_unique<request_flow>(
-        request_flow{contact, quota, claims, upstreams, *backends, decisions});
+    flow = std::make_unique<request_flow>(request_flow{
+        contact, quota, claims, upstreams, rollouts, *backends, decisions});
     connect_parts();
     start_timers();
     watch = std::make_unique<state_watch>(feed, *context, factory);
@@ -131,6 +131,11 @@
         take_table(quota, *context, feed);
         freshness::note_held(contact.fresh, held_epochs(feed));
     };
+    feed.on_other = [this](const store::entry& entry)
+    {
+        if (entry.key.starts_with(rollout_prefix))
+            take_entry(rollouts, *context, entry);
+    };
     quota.state = quota::make_quota_state({config.id, config.life}, {}, now);
     quota.on_ready = [this](const customer_id& customer)
     {
@@ -168,6 +173,7 @@
                     {
                         maintain_shares(quota, *context, contact, feed);
                         step_weights(upstreams, *context);
+                        tick(rollouts, *context, contact);
                         watch->enable(designated(contact, *context));
                         update_gauges();
                         step_drain();
@@ -208,6 +214,9 @@
                    unpack_value<claims::claim_batch>(body, from.value));
         break;
     case message_kind::rollout_brake:
+    case message_kind::rollout_report:
+    case message_kind::rollout_record:
+        take_message(rollouts, *context, message);
         break;
     }
 }
@@ -224,6 +233,7 @@
     configure(quota, *context, *content);
     configure(claims, *context, fleet);
     configure(upstreams, *context, content);
+    configure(rollouts, *content);
     publish_snapshot();
 }
 
@@ -247,28 +257,19 @@
     next->lookup.content = feed.tables->content;
     next->lookup.blocks = feed.tables->blocks;
     const auto now = loop.now();
-    auto& instances = next->lookup.instances;
+    std::vector<lookup::live_instance> instances{
+        {config.id, config.region, config.address, config.caller_port,
+         contact.draining}};
     std::ranges::for_each(
         contact.members.members,
         [&](const auto& it)
         {
             const auto& info = it.second.info;
             if (membership::usable(contact.members, info.id, now))
-                instances.push_back({info.id,
-                                     info.region,
-                                     info.address,
-                                     info.caller_port,
-                                     false,
-                                     1,
-                                     {}});
+                instances.push_back(
+                    {info.id, info.region, info.address, info.caller_port});
         });
-    instances.push_back({config.id,
-                         config.region,
-                         config.address,
-                         config.caller_port,
-                         contact.draining,
-                         1,
-                         {}});
+    next->lookup.instances = lookup::group_by_region(instances);
     snapshot.store(std::move(next));
 }
 
@@ -417,7 +418,7 @@
             {
                 out.complete(json_response(
                     200, status_json({*context, contact, feed, quota, upstreams,
-                                      flow->active.size()})));
+                                      rollouts, flow->active.size()})));
             });
     else if (in.path == "/explain" && in.query.starts_with("id="))
         loop.post(
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -76,6 +76,7 @@
     quota_agent quota;
     claim_agent claims;
     upstream_pool upstreams;
+    rollout_agent rollouts;
     decision_log decisions;
 
     drain_phase phase = drain_phase::serving;
--- a/src/entry/request_dispatch.cpp
+++ b/src/entry/request_dispatch.cpp
@@ -120,7 +120,8 @@
     r.phase = request_phase::dispatched;
     ++r.tries;
     note(context, r, "dispatch",
-         r.place->server.id.value + " in " + r.place->region.value + ", try " +
+         r.place->server.id.value + " in " + r.place->region.value +
+             ", version " + r.place->server.version.value + ", try " +
              std::to_string(r.tries));
     flow.backends.send(
         make_call(r),
@@ -200,14 +201,37 @@
            reason == refusal_reason::link_bandwidth;
 }
 
-bool try_place(request_flow& flow, node_context& context, active_request& r,
-               refusal_reason& refusal)
+place_result place_on(request_flow& flow, node_context& context,
+                      const active_request& r, const version_id* version)
 {
-    const auto result = place(
+    return place(
         flow.upstreams, context,
         {r.routed.route->upstream,
          static_cast<double>(r.routed.body->size()) + expected_response_bytes,
-         &r.tried});
+         &r.tried, version});
+}
+
+// Places a request while a rollout runs. The other version takes it if the
+// drawn one has no free server; otherwise a version with few servers would
+// refuse requests that the other could serve.
+place_result place_by_version(request_flow& flow, node_context& context,
+                              active_request& r, const version_choice& drawn)
+{
+    r.version = drawn;
+    auto result = place_on(flow, context, r, &r.version->version);
+    if (result.where)
+        return result;
+    r.version = other_version(flow.rollouts, r.routed.route->upstream, drawn);
+    return place_on(flow, context, r, &r.version->version);
+}
+
+bool try_place(request_flow& flow, node_context& context, active_request& r,
+               refusal_reason& refusal)
+{
+    const auto drawn =
+        choose_version(flow.rollouts, context, r.routed.route->upstream);
+    const auto result = drawn ? place_by_version(flow, context, r, *drawn)
+                              : place_on(flow, context, r, nullptr);
     refusal = result.refusal;
     if (!result.where)
         return false;
@@ -216,14 +240,31 @@
     return true;
 }
 
+// Reports the try to the rollout, if one runs. A try that says nothing about
+// the server says nothing about its version either.
+void record_version(request_flow& flow, node_context& context,
+                    const active_request& r, const try_verdict& verdict,
+                    std::chrono::microseconds latency)
+{
+    if (!r.version || verdict.server == server_result::neutral)
+        return;
+    const auto& route = *r.routed.route;
+    record_result(flow.rollouts, route.upstream, route.id,
+                  {r.version->is_new, verdict.server == server_result::failure,
+                   warm(flow.upstreams, context, route.upstream, *r.place),
+                   latency});
+}
+
 void finish_try(request_flow& flow, node_context& context, std::uint64_t number,
                 const dataplane::call_result& result)
 {
     auto& r = flow.active.at(number);
     const auto verdict = judge_try(result);
+    record_version(flow, context, r, verdict, result.duration);
     release(flow.upstreams, context, r.routed.route->upstream, *r.place,
             verdict.server, result.duration);
     r.place.reset();
+    r.version.reset();
     note(context, r, "backend",
          std::string(dataplane::to_string(result.outcome)) +
              (result.detail.empty() ? "" : ": " + result.detail));
--- a/src/entry/request_flow.hpp
+++ b/src/entry/request_flow.hpp
@@ -11,6 +11,7 @@
 #include <parsleyplank/entry/decision_log.hpp>
 #include <parsleyplank/entry/peer_contact.hpp>
 #include <parsleyplank/entry/quota_agent.hpp>
+#include <parsleyplank/entry/rollout_agent.hpp>
 #include <parsleyplank/entry/upstream_pool.hpp>
 
 #include <cstdint>
@@ -59,6 +60,8 @@
     std::optional<std::uint64_t> attempt;
     // Where the present try runs.
     std::optional<placed_server> place;
+    // Version that the present try goes to, while a rollout runs.
+    std::optional<version_choice> version;
     std::set<backend_server_id> tried;
     int tries = 0;
     // A try ended without proof that the request did not run.
@@ -72,6 +75,7 @@
     quota_agent& quota;
     claim_agent& claims;
     upstream_pool& upstreams;
+    rollout_agent& rollouts;
     dataplane::backend_client& backends;
     decision_log& decisions;
 
--- a/src/entry/snapshot.cpp
+++ b/src/entry/snapshot.cpp
@@ -31,16 +31,17 @@
 } // namespace
 
 std::shared_ptr<const config_tables>
-build_tables(std::shared_ptr<const config::bundle> content,
+build_tables(const config::adoption& adopted,
              std::shared_ptr<const lookup::block_table> same_blocks)
 {
     auto tables = std::make_shared<config_tables>();
-    tables->content = std::move(content);
+    tables->content = adopted.held;
     tables->keys = keys::keyring(*tables->content);
     tables->blocks = std::move(same_blocks);
     if (!tables->blocks)
         tables->blocks = std::make_shared<const lookup::block_table>(
-            lookup::make_block_table(*tables->content));
+            lookup::make_block_table(*tables->content, adopted.held_manifest,
+                                     adopted.parts));
     return tables;
 }
 
--- a/src/entry/snapshot.hpp
+++ b/src/entry/snapshot.hpp
@@ -5,7 +5,7 @@
 // from it, and the live instances. Immutable; the control thread replaces it as
 // a whole.
 
-#include <parsleyplank/config/model.hpp>
+#include <parsleyplank/config/adoption.hpp>
 #include <parsleyplank/keys/keyring.hpp>
 #include <parsleyplank/lookup/lookup.hpp>
 
@@ -31,11 +31,12 @@
 
 using snapshot_slot = std::atomic<std::shared_ptr<const traffic_snapshot>>;
 
-// Returns the tables of a bundle. The block table of the previous tables is
-// used again if given, because it is the costly one and client blocks change
-// less often than the rest. Throws config_error if the bundle is not valid.
+// Returns the tables of the adopted configuration. The block table of the
+// previous tables is used again if given, because it is the costly one and
+// client blocks change less often than the rest. Throws config_error if the
+// bundle is not valid, codec_error if a part is missing.
 std::shared_ptr<const config_tables>
-build_tables(std::shared_ptr<const config::bundle> content,
+build_tables(const config::adoption& adopted,
              std::shared_ptr<const lookup::block_table> same_blocks);
 
 // Returns the route whose path prefix is the longest that matches whole path
--- a/src/entry/state_feed.cpp
+++ b/src/entry/state_feed.cpp
@@ -20,30 +20,15 @@
     return part_logger("config");
 }
 
-const std::string* client_block_root(const config::manifest& m)
-{
-    const auto it =
-        std::ranges::find(m.sections, std::string_view("client_blocks"),
-                          &config::section_ref::name);
-    return it == m.sections.end() ? nullptr : &it->root;
-}
-
-bool same_client_blocks(const config::manifest& a, const config::manifest& b)
-{
-    const auto* root_a = client_block_root(a);
-    const auto* root_b = client_block_root(b);
-    return root_a != nullptr && root_b != nullptr && *root_a == *root_b;
-}
-
 void adopt_if_complete(state_feed& feed)
 {
     const auto before = feed.config.held_manifest;
     if (!config::try_adopt(feed.config))
         return;
-    const bool reuse =
-        feed.tables && same_client_blocks(before, feed.config.held_manifest);
+    const bool reuse = feed.tables && config::same_client_blocks(
+                                          before, feed.config.held_manifest);
     feed.tables =
-        build_tables(feed.config.held, reuse ? feed.tables->blocks : nullptr);
+        build_tables(feed.config, reuse ? feed.tables->blocks : nullptr);
     LOG4CPLUS_INFO(feed_log(), "Configuration epoch "
                                    << held_epoch(feed.config).value
                                    << " is in force.");
@@ -151,8 +136,10 @@
             {
                 if (e.key == config_key)
                     shown.config = take_manifest(feed, e.value);
-                if (e.key == shares_key)
+                else if (e.key == shares_key)
                     shown.shares = take_shares(feed, e.value, e.key_revision);
+                else
+                    feed.on_other(e);
             }
             catch (const error& ec)
             {
--- a/src/entry/state_feed.hpp
+++ b/src/entry/state_feed.hpp
@@ -45,7 +45,9 @@
 
 struct state_feed
 {
-    config::adoption config;
+    // Client blocks are left out of the bundle; the block table is made from
+    // the parts.
+    config::adoption config{.with_client_blocks = false};
     std::shared_ptr<const config_tables> tables;
     quota::share_table shares;
     // Revision of the share table, for this instance's own writes; unset while
@@ -61,6 +63,8 @@
     // Called on the control thread after the held state has changed.
     std::function<void()> on_config;
     std::function<void()> on_shares;
+    // Called with entries under state/ that are neither of the two.
+    std::function<void(const store::entry&)> on_other;
 };
 
 // Returns the epochs held.
--- a/src/entry/status_report.cpp
+++ b/src/entry/status_report.cpp
@@ -56,6 +56,25 @@
             {"queued", u.queue.size}};
 }
 
+json rollouts_json(const rollout_agent& agent)
+{
+    json out = json::array();
+    std::ranges::for_each(
+        agent.rollouts,
+        [&](const auto& it)
+        {
+            const auto& s = it.second.state;
+            out.push_back({{"upstream", it.first.value},
+                           {"from", it.second.wanted.from.value},
+                           {"to", it.second.wanted.to.value},
+                           {"phase", rollout::to_string(s.record.state)},
+                           {"share_ppm", rollout::share_in_use(s).value},
+                           {"late", s.record.late},
+                           {"evidence", s.brake.value_or(s.record.evidence)}});
+        });
+    return out;
+}
+
 } // namespace
 
 std::string status_json(const status_sources& s)
@@ -78,6 +97,7 @@
         {"draining", s.contact.draining},
         {"active_requests", s.active_requests},
         {"members", members_json(s)},
+        {"rollouts", rollouts_json(s.rollouts)},
         {"upstreams", upstreams}};
     return out.dump();
 }
--- a/src/entry/status_report.hpp
+++ b/src/entry/status_report.hpp
@@ -7,6 +7,7 @@
 #include <parsleyplank/entry/decision_log.hpp>
 #include <parsleyplank/entry/peer_contact.hpp>
 #include <parsleyplank/entry/quota_agent.hpp>
+#include <parsleyplank/entry/rollout_agent.hpp>
 #include <parsleyplank/entry/state_feed.hpp>
 #include <parsleyplank/entry/upstream_pool.hpp>
 
@@ -22,6 +23,7 @@
     const state_feed& feed;
     const quota_agent& quota;
     const upstream_pool& upstreams;
+    const rollout_agent& rollouts;
     // Requests that have not ended.
     std::size_t active_requests = 0;
 };
--- a/src/entry/upstream_pool.cpp
+++ b/src/entry/upstream_pool.cpp
@@ -46,6 +46,9 @@
     const auto now = context.loop.now();
     target.slots =
         static_cast<std::uint32_t>(servers.size()) * u.slots_per_server;
+    target.versions.clear();
+    std::ranges::for_each(servers, [&](const backend_server& s)
+                          { target.versions[s.id] = s.version; });
     target.pool.options.slots_per_server = u.slots_per_server;
     const auto subset = placement::choose_subset(
         context.config.id, u.id, ids_of(servers), u.connection_budget,
@@ -271,6 +274,8 @@
     const auto accepts = [&](const backend_server_id& id)
     {
         return !request.tried->contains(id) &&
+               (request.version == nullptr ||
+                servers.versions.at(id) == *request.version) &&
                placement::is_usable(servers.health, id, now);
     };
     const auto* chosen =
@@ -321,6 +326,17 @@
                            << " is ejected after failed requests.");
 }
 
+bool warm(const upstream_pool& pool, node_context& context,
+          const upstream_id& upstream, const placed_server& place)
+{
+    const auto& servers =
+        pool.upstreams.at(upstream).regions.at(place.region).pool;
+    const auto it = servers.servers.find(place.server.id);
+    return it != servers.servers.end() &&
+           placement::ramp(it->second, servers.options, context.loop.now()) >=
+               1;
+}
+
 std::uint32_t in_flight(const upstream_pool& pool)
 {
     std::uint32_t n = 0;
--- a/src/entry/upstream_pool.hpp
+++ b/src/entry/upstream_pool.hpp
@@ -28,6 +28,7 @@
     // Slots of all servers in the region.
     std::uint32_t slots = 0;
     std::uint32_t in_flight = 0;
+    std::map<backend_server_id, version_id> versions;
 };
 
 struct upstream_state
@@ -65,6 +66,8 @@
     double expected_bytes = 0;
     // Servers that were tried already.
     const std::set<backend_server_id>* tried = nullptr;
+    // Null if servers of any version will do.
+    const version_id* version = nullptr;
 };
 
 struct place_result
@@ -106,6 +109,10 @@
              const upstream_id& upstream, const placed_server& place,
              server_result result, std::chrono::microseconds latency);
 
+// Tells whether a server is past its slow start.
+bool warm(const upstream_pool& pool, node_context& context,
+          const upstream_id& upstream, const placed_server& place);
+
 // Returns the requests in flight of all upstreams.
 std::uint32_t in_flight(const upstream_pool& pool);
 
--- a/src/peer/message.cpp
+++ b/src/peer/message.cpp
@@ -20,7 +20,9 @@
     std::pair(message_kind::loan_grant, "loan_grant"),
     std::pair(message_kind::loan_return, "loan_return"),
     std::pair(message_kind::claim_batch, "claim_batch"),
-    std::pair(message_kind::rollout_brake, "rollout_brake")};
+    std::pair(message_kind::rollout_brake, "rollout_brake"),
+    std::pair(message_kind::rollout_report, "rollout_report"),
+    std::pair(message_kind::rollout_record, "rollout_record")};
 
 constexpr std::string_view unknown_kind = "unknown_kind";
 
--- a/src/peer/message.hpp
+++ b/src/peer/message.hpp
@@ -26,7 +26,9 @@
     loan_grant = 7,
     loan_return = 8,
     claim_batch = 9,
-    rollout_brake = 10
+    rollout_brake = 10,
+    rollout_report = 11,
+    rollout_record = 12
 };
 
 // Returns the name used in logs and metrics, e.g. "loan_grant".
