--- a/test/correctness/store_http.cpp
+++ b/test/correctness/store_http.cpp
@@ -215,6 +215,7 @@
     CPPUNIT_ASSERT_EQUAL(200, put("/fault/list_down?value=1", ""));
     CPPUNIT_ASSERT_THROW(link->instances.read(), store_unavailable);
     CPPUNIT_ASSERT_EQUAL(400, put("/fault/rain?value=1", ""));
+    CPPUNIT_ASSERT_EQUAL(400, put("/fault/down?value=1x", ""));
     const auto counts = nlohmann::json::parse(
         test::http_exchange(link->server.port(), "GET", "/counts", "").body);
     CPPUNIT_ASSERT_EQUAL(3, counts["instance_reads"].get<int>());
--- a/test/performance/bench_store.cpp
+++ b/test/performance/bench_store.cpp
@@ -47,6 +47,7 @@
     const auto run = [&](work called, int n)
     {
         std::vector<std::thread> threads;
+        threads.reserve(workers);
         for (int worker = 0; worker < workers; ++worker)
             threads.emplace_back(
                 [&, worker]
--- a/test/standin/store_server.cpp
+++ b/test/standin/store_server.cpp
@@ -9,6 +9,7 @@
 #include <pistache/endpoint.h>
 
 #include <algorithm>
+#include <charconv>
 #include <condition_variable>
 #include <list>
 #include <optional>
@@ -55,6 +56,17 @@
     return unpack_value<Message>(request.body(), request.resource());
 }
 
+std::uint64_t parse_number(const std::string& text)
+{
+    std::uint64_t value = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [stop, code] = std::from_chars(text.data(), end, value);
+    if (code != std::errc() || stop != end)
+        throw error("the query parameter 'value' is '" + text +
+                    "', not a number");
+    return value;
+}
+
 } // namespace
 
 struct store_server::state
@@ -153,10 +165,8 @@
         return control_instance(request, path.substr(instance.size()));
     if (!path.starts_with(fault))
         return {Code::Not_Found, "unknown path " + path};
-    const auto value = request.query().get("value");
-    if (!value)
-        throw error("the query parameter 'value' is missing");
-    set_fault(core, path.substr(fault.size()), std::stoull(*value));
+    set_fault(core, path.substr(fault.size()),
+              parse_number(request.query().get("value").value_or("")));
     return {Code::Ok, ""};
 }
 
