--- a/test/standin/store_server.cpp
+++ b/test/standin/store_server.cpp
@@ -9,7 +9,6 @@
 #include <pistache/endpoint.h>
 
 #include <algorithm>
-#include <charconv>
 #include <condition_variable>
 #include <list>
 #include <optional>
@@ -56,17 +55,6 @@
     return unpack_value<Message>(request.body(), request.resource());
 }
 
-std::uint64_t parse_number(const std::string& text)
-{
-    std::uint64_t value = 0;
-    const auto* const end = text.data() + text.size();
-    const auto [stop, code] = std::from_chars(text.data(), end, value);
-    if (code != std::errc() || stop != end)
-        throw error("the query parameter 'value' is '" + text +
-                    "', not a number");
-    return value;
-}
-
 } // namespace
 
 struct store_server::state
--- a/test/standin/store_wire.cpp
+++ b/test/standin/store_wire.cpp
@@ -1,11 +1,13 @@
 #include "standin/store_wire.hpp"
 
+#include <parsleyplank/core/error.hpp>
 #include <parsleyplank/store/http_instance_list.hpp>
 #include <parsleyplank/store/store_protocol.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
 
 namespace parsleyplank::standin
 {
@@ -58,4 +60,15 @@
     return document.dump();
 }
 
+std::uint64_t parse_number(const std::string& text)
+{
+    std::uint64_t value = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [stop, code] = std::from_chars(text.data(), end, value);
+    if (code != std::errc() || stop != end)
+        throw error("the query parameter 'value' is '" + text +
+                    "', not a number");
+    return value;
+}
+
 } // namespace parsleyplank::standin
--- a/test/standin/store_wire.hpp
+++ b/test/standin/store_wire.hpp
@@ -1,10 +1,11 @@
 #ifndef PARSLEYPLANK_TEST_STANDIN_STORE_WIRE_HPP
 #define PARSLEYPLANK_TEST_STANDIN_STORE_WIRE_HPP
 
-// Response bodies of the stand-in store.
+// Response bodies and parameters of the stand-in store.
 
 #include "standin/store_core.hpp"
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,10 @@
 std::string to_text(const arrival_counts& counts);
 std::string to_text(const std::vector<store::listed_instance>& instances);
 
+// Returns the number that a query parameter holds. Throws error, which holds
+// the text, if it is not a number.
+std::uint64_t parse_number(const std::string& text);
+
 } // namespace parsleyplank::standin
 
 #endif
