--- a/test/standin/store_server.cpp
+++ b/test/standin/store_server.cpp
@@ -153,10 +153,8 @@
         return control_instance(request, path.substr(instance.size()));
     if (!path.starts_with(fault))
         return {Code::Not_Found, "unknown path " + path};
-    const auto value = request.query().get("value");
-    if (!value)
-        throw error("the query parameter 'value' is missing");
-    set_fault(core, path.substr(fault.size()), std::stoull(*value));
+    set_fault(core, path.substr(fault.size()),
+              parse_number(request.query().get("value").value_or("")));
     return {Code::Ok, ""};
 }
 
