--- a/test/correctness/dataplane_http_front.cpp
+++ b/test/correctness/dataplane_http_front.cpp
@@ -98,7 +98,10 @@
         CPPUNIT_ASSERT(!got.answer.complete({200, {}, "second"}));
         CPPUNIT_ASSERT_EQUAL(std::string("first"), caller.receive().body);
         caller.send(simple_get);
-        inbox.take().answer.complete({200, {}, "third"});
+        const auto next = inbox.take();
+        // Must not become the response of the next request either.
+        CPPUNIT_ASSERT(!got.answer.complete({200, {}, "second"}));
+        next.answer.complete({200, {}, "third"});
         CPPUNIT_ASSERT_EQUAL(std::string("third"), caller.receive().body);
     }
 
--- a/test/correctness/placement_shift.cpp
+++ b/test/correctness/placement_shift.cpp
@@ -68,7 +68,9 @@
             step_shift(state, targets.at(n / 500 % 3), options, now);
             CPPUNIT_ASSERT_EQUAL(ppm_total, sum(state.weights));
             history.emplace_back(now, state.weights);
-            while (history.front().first < now - options.interval)
+            // Keeps the weights that were in force when the window began.
+            while (history.size() > 1 &&
+                   history[1].first <= now - options.interval)
                 history.pop_front();
             for (const auto& [time, weights] : history)
                 most = std::max(most, moved_share(weights, state.weights));
--- a/test/failure/dataplane_front_faults.cpp
+++ b/test/failure/dataplane_front_faults.cpp
@@ -241,7 +241,7 @@
         caller.send("GET /a HTTP/1.1\r\n\r\n");
         const auto held = inbox.take();
         test::mailbox<bool> finished;
-        std::thread stopper(
+        std::jthread stopper(
             [&] { finished.put(front->stop(milliseconds(20'000))); });
         CPPUNIT_ASSERT(
             test::eventually([&] { return front->counters().stopping; }));
@@ -271,7 +271,7 @@
         // Keeps the other connection open and idle.
         theirs.second.complete({});
         CPPUNIT_ASSERT_EQUAL(200, other.receive().status);
-        std::thread stopper([&] { front->stop(milliseconds(20'000)); });
+        std::jthread stopper([&] { front->stop(milliseconds(20'000)); });
         CPPUNIT_ASSERT(
             test::eventually([&] { return front->counters().stopping; }));
         other.send("GET /b HTTP/1.1\r\n\r\n");
