Write responses without Pistache's ResponseWriter

The promise that ResponseWriter::send returns is resolved without a lock, so a thread that attaches to it races with the server thread (found by ThreadSanitizer).

--- a/src/dataplane/front_connection.cpp
+++ b/src/dataplane/front_connection.cpp
@@ -1,7 +1,7 @@
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/dataplane/front_connection.hpp>
-#include <parsleyplank/dataplane/named_header.hpp>
 #include <parsleyplank/dataplane/responder_state.hpp>
+#include <parsleyplank/dataplane/response_text.hpp>
 
 #include <sys/socket.h>
 
@@ -14,8 +14,6 @@
 namespace
 {
 
-namespace http = Pistache::Http;
-
 // A body that arrives or leaves slower than this gives its memory back.
 constexpr std::uint64_t least_rate = 16'384; // bytes per second
 
@@ -79,11 +77,9 @@
 front_connection::front_connection(
     std::shared_ptr<front_core> shared_core,
     const std::shared_ptr<Pistache::Tcp::Peer>& its_peer,
-    Pistache::Tcp::Transport* its_transport,
-    Pistache::Http::Handler* its_handler)
+    Pistache::Tcp::Transport* its_transport)
     : core(std::move(shared_core)), peer(its_peer), transport(its_transport),
-      pistache_handler(its_handler), fd(its_peer->fd()), phase_start(now()),
-      last_input(phase_start)
+      fd(its_peer->fd()), phase_start(now()), last_input(phase_start)
 {
 }
 
@@ -183,8 +179,8 @@
     }
     if (head.expects_continue && head.content_length > 0)
     {
-        if (const auto it = peer.lock())
-            it->send(Pistache::RawBuffer("HTTP/1.1 100 Continue\r\n\r\n", 25));
+        const std::string text = "HTTP/1.1 100 Continue\r\n\r\n";
+        transport->asyncWrite(fd, Pistache::RawBuffer(text, text.size()));
     }
     wants_body = head.method != "HEAD";
     request.method = std::move(head.method);
@@ -275,17 +271,14 @@
 Pistache::Async::Promise<ssize_t>
 front_connection::write(const outbound_response& response, bool close)
 {
-    http::ResponseWriter writer(http::Version::Http11, transport,
-                                pistache_handler, peer);
-    for (const auto& field : response.headers)
-        add_header(writer, field);
-    add_header(writer, {"Connection", close ? "close" : "keep-alive"});
+    auto text = format_response(response, close, wants_body);
+    const auto size = text.size();
     ++queued_writes;
     write_limit = now() + core->options.write_timeout +
-                  std::chrono::seconds(response.body.size() / least_rate);
+                  std::chrono::seconds(size / least_rate);
     add_to(*core, &front_core::pending_writes, 1);
-    return writer.send(static_cast<http::Code>(response.status),
-                       wants_body ? response.body : std::string());
+    return transport->asyncWrite(fd,
+                                 Pistache::RawBuffer(std::move(text), size));
 }
 
 void front_connection::await_write(Pistache::Async::Promise<ssize_t> sent,
--- a/src/dataplane/front_connection.hpp
+++ b/src/dataplane/front_connection.hpp
@@ -58,8 +58,7 @@
 public:
     front_connection(std::shared_ptr<front_core> shared_core,
                      const std::shared_ptr<Pistache::Tcp::Peer>& its_peer,
-                     Pistache::Tcp::Transport* its_transport,
-                     Pistache::Http::Handler* its_handler);
+                     Pistache::Tcp::Transport* its_transport);
 
     // Takes received bytes; on the server thread.
     void take_input(std::string_view data);
@@ -105,7 +104,6 @@
     const std::shared_ptr<front_core> core;
     const std::weak_ptr<Pistache::Tcp::Peer> peer;
     Pistache::Tcp::Transport* const transport;
-    Pistache::Http::Handler* const pistache_handler;
     const int fd;
 
     // Guards the members below.
--- a/src/dataplane/http_front.cpp
+++ b/src/dataplane/http_front.cpp
@@ -60,7 +60,7 @@
         peer->putData(ParserData,
                       std::make_shared<Pistache::Http::RequestParser>(1));
         auto connection =
-            std::make_shared<front_connection>(core, peer, transport(), this);
+            std::make_shared<front_connection>(core, peer, transport());
         {
             const std::lock_guard lock(core->mutex);
             if (!core->stopping &&
