--- a/src/dataplane/front_connection.cpp
+++ b/src/dataplane/front_connection.cpp
@@ -85,34 +85,45 @@
 
 void front_connection::take_input(std::string_view data)
 {
+    bool complete_request = false;
+    std::optional<write_promise> refusal;
     {
         const std::lock_guard lock(mutex);
         last_input = now();
-        bool complete_request = false;
-        while (!data.empty())
+        complete_request = read_request(data);
+        if (complete_request)
+            now_in = phase::outstanding;
+        refusal.swap(refusal_sent);
+    }
+    // Both take the lock again.
+    if (refusal)
+        await_write(std::move(*refusal), true);
+    if (complete_request)
+        dispatch();
+}
+
+// Reads up to the end of one request. Returns whether it is complete.
+bool front_connection::read_request(std::string_view data)
+{
+    bool complete_request = false;
+    while (!data.empty() && now_in != phase::finished && !has_ended)
+    {
+        if (now_in == phase::outstanding || complete_request)
         {
-            if (now_in == phase::finished || has_ended)
-                return;
-            if (now_in == phase::outstanding || complete_request)
-            {
-                // A request before the response to the last one. Its response
-                // could overtake the other, so the connection ends after that.
-                if (!close_after)
-                    ++core->early_requests;
-                close_after = true;
-                break;
-            }
-            if (now_in == phase::body)
-                take_body(data);
-            else
-                take_head(data);
-            complete_request = now_in == phase::body && body_left == 0;
+            // A request before the response to the last one. Its response could
+            // overtake the other, so the connection ends after that.
+            if (!close_after)
+                ++core->early_requests;
+            close_after = true;
+            break;
         }
-        if (!(now_in == phase::body && body_left == 0))
-            return;
-        now_in = phase::outstanding;
+        if (now_in == phase::body)
+            take_body(data);
+        else
+            take_head(data);
+        complete_request = now_in == phase::body && body_left == 0;
     }
-    dispatch();
+    return complete_request;
 }
 
 void front_connection::take_head(std::string_view& data)
@@ -214,9 +225,7 @@
     phase_start = last_input;
     buffer.clear();
     request = {};
-    // Safe under the lock: this is the thread that will write the response, so
-    // it is not written yet.
-    await_write(write(response, true), true);
+    refusal_sent.emplace(write(response, true));
 }
 
 void front_connection::dispatch()
@@ -268,7 +277,7 @@
     return true;
 }
 
-Pistache::Async::Promise<ssize_t>
+front_connection::write_promise
 front_connection::write(const outbound_response& response, bool close)
 {
     auto text = format_response(response, close, wants_body);
@@ -281,8 +290,7 @@
                                  Pistache::RawBuffer(std::move(text), size));
 }
 
-void front_connection::await_write(Pistache::Async::Promise<ssize_t> sent,
-                                   bool close)
+void front_connection::await_write(write_promise sent, bool close)
 {
     sent.then([self = shared_from_this(), close](ssize_t)
               { self->end_write(close); },
--- a/src/dataplane/front_connection.hpp
+++ b/src/dataplane/front_connection.hpp
@@ -17,6 +17,7 @@
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -89,15 +90,17 @@
         finished
     };
 
+    using write_promise = Pistache::Async::Promise<ssize_t>;
+
+    bool read_request(std::string_view data);
     void take_head(std::string_view& data);
     void start_body(std::size_t head_size);
     void take_body(std::string_view& data);
     void refuse(int status, const std::string& text);
     void refuse(const outbound_response& response);
     void dispatch();
-    Pistache::Async::Promise<ssize_t> write(const outbound_response& response,
-                                            bool close);
-    void await_write(Pistache::Async::Promise<ssize_t> sent, bool close);
+    write_promise write(const outbound_response& response, bool close);
+    void await_write(write_promise sent, bool close);
     void end_write(bool close);
     bool has_timed_out(time_point now) const;
 
@@ -119,6 +122,8 @@
     inbound_request request;
     std::uint64_t body_left = 0;
     std::size_t queued_writes = 0;
+    // A refusal that was queued and is not awaited yet.
+    std::optional<write_promise> refusal_sent;
     time_point phase_start;
     time_point last_input;
     time_point body_limit;
--- a/src/dataplane/http_front.hpp
+++ b/src/dataplane/http_front.hpp
@@ -1,8 +1,8 @@
 #ifndef PARSLEYPLANK_DATAPLANE_HTTP_FRONT_HPP
 #define PARSLEYPLANK_DATAPLANE_HTTP_FRONT_HPP
 
-// HTTP server for callers and for the admin port. Pistache supplies sockets,
-// event loops and response writing. Request framing is checked here, because
+// HTTP server for callers and for the admin port. Pistache supplies sockets and
+// event loops. Request framing is checked here, because
 // Pistache 0.0.5 accepts two different Content-Lengths and loses the second of
 // two requests in one TCP segment.
 
