--- a/src/dataplane/front_connection.cpp
+++ b/src/dataplane/front_connection.cpp
@@ -1,7 +1,7 @@
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/dataplane/front_connection.hpp>
-#include <parsleyplank/dataplane/named_header.hpp>
 #include <parsleyplank/dataplane/responder_state.hpp>
+#include <parsleyplank/dataplane/response_text.hpp>
 
 #include <sys/socket.h>
 
@@ -14,8 +14,6 @@
 namespace
 {
 
-namespace http = Pistache::Http;
-
 // A body that arrives or leaves slower than this gives its memory back.
 constexpr std::uint64_t least_rate = 16'384; // bytes per second
 
@@ -79,44 +77,53 @@
 front_connection::front_connection(
     std::shared_ptr<front_core> shared_core,
     const std::shared_ptr<Pistache::Tcp::Peer>& its_peer,
-    Pistache::Tcp::Transport* its_transport,
-    Pistache::Http::Handler* its_handler)
+    Pistache::Tcp::Transport* its_transport)
     : core(std::move(shared_core)), peer(its_peer), transport(its_transport),
-      pistache_handler(its_handler), fd(its_peer->fd()), phase_start(now()),
-      last_input(phase_start)
+      fd(its_peer->fd()), phase_start(now()), last_input(phase_start)
 {
 }
 
 void front_connection::take_input(std::string_view data)
 {
+    bool complete_request = false;
+    std::optional<write_promise> refusal;
     {
         const std::lock_guard lock(mutex);
         last_input = now();
-        bool complete_request = false;
-        while (!data.empty())
+        complete_request = read_request(data);
+        if (complete_request)
+            now_in = phase::outstanding;
+        refusal.swap(refusal_sent);
+    }
+    // Both take the lock again.
+    if (refusal)
+        await_write(std::move(*refusal), true);
+    if (complete_request)
+        dispatch();
+}
+
+// Reads up to the end of one request. Returns whether it is complete.
+bool front_connection::read_request(std::string_view data)
+{
+    bool complete_request = false;
+    while (!data.empty() && now_in != phase::finished && !has_ended)
+    {
+        if (now_in == phase::outstanding || complete_request)
         {
-            if (now_in == phase::finished || has_ended)
-                return;
-            if (now_in == phase::outstanding || complete_request)
-            {
-                // A request before the response to the last one. Its response
-                // could overtake the other, so the connection ends after that.
-                if (!close_after)
-                    ++core->early_requests;
-                close_after = true;
-                break;
-            }
-            if (now_in == phase::body)
-                take_body(data);
-            else
-                take_head(data);
-            complete_request = now_in == phase::body && body_left == 0;
+            // A request before the response to the last one. Its response could
+            // overtake the other, so the connection ends after that.
+            if (!close_after)
+                ++core->early_requests;
+            close_after = true;
+            break;
         }
-        if (!(now_in == phase::body && body_left == 0))
-            return;
-        now_in = phase::outstanding;
+        if (now_in == phase::body)
+            take_body(data);
+        else
+            take_head(data);
+        complete_request = now_in == phase::body && body_left == 0;
     }
-    dispatch();
+    return complete_request;
 }
 
 void front_connection::take_head(std::string_view& data)
@@ -183,8 +190,8 @@
     }
     if (head.expects_continue && head.content_length > 0)
     {
-        if (const auto it = peer.lock())
-            it->send(Pistache::RawBuffer("HTTP/1.1 100 Continue\r\n\r\n", 25));
+        const std::string text = "HTTP/1.1 100 Continue\r\n\r\n";
+        transport->asyncWrite(fd, Pistache::RawBuffer(text, text.size()));
     }
     wants_body = head.method != "HEAD";
     request.method = std::move(head.method);
@@ -218,9 +225,7 @@
     phase_start = last_input;
     buffer.clear();
     request = {};
-    // Safe under the lock: this is the thread that will write the response, so
-    // it is not written yet.
-    await_write(write(response, true), true);
+    refusal_sent.emplace(write(response, true));
 }
 
 void front_connection::dispatch()
@@ -272,24 +277,20 @@
     return true;
 }
 
-Pistache::Async::Promise<ssize_t>
+front_connection::write_promise
 front_connection::write(const outbound_response& response, bool close)
 {
-    http::ResponseWriter writer(http::Version::Http11, transport,
-                                pistache_handler, peer);
-    for (const auto& field : response.headers)
-        add_header(writer, field);
-    add_header(writer, {"Connection", close ? "close" : "keep-alive"});
+    auto text = format_response(response, close, wants_body);
+    const auto size = text.size();
     ++queued_writes;
     write_limit = now() + core->options.write_timeout +
-                  std::chrono::seconds(response.body.size() / least_rate);
+                  std::chrono::seconds(size / least_rate);
     add_to(*core, &front_core::pending_writes, 1);
-    return writer.send(static_cast<http::Code>(response.status),
-                       wants_body ? response.body : std::string());
+    return transport->asyncWrite(fd,
+                                 Pistache::RawBuffer(std::move(text), size));
 }
 
-void front_connection::await_write(Pistache::Async::Promise<ssize_t> sent,
-                                   bool close)
+void front_connection::await_write(write_promise sent, bool close)
 {
     sent.then([self = shared_from_this(), close](ssize_t)
               { self->end_write(close); },
