Bound what decoding may allocate by the size of the bytes

Five bytes that claim an array of 4 billion elements made unpack_value throw bad_alloc; any peer message could do it. Sizes and depth are limited now, and such bytes give a codec_error.

--- a/src/core/codec.hpp
+++ b/src/core/codec.hpp
@@ -19,6 +19,9 @@
 namespace parsleyplank
 {
 
+// Deepest nesting that unpack_value takes.
+inline constexpr std::size_t max_codec_depth = 32;
+
 // Returns the MessagePack form of the value.
 template <typename Value>
 std::string pack_value(const Value& value)
@@ -37,7 +40,13 @@
     try
     {
         std::size_t n = 0;
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), n);
+        // Sizes in the bytes are bounded by their number: five bytes that claim
+        // an array of 4 billion elements must not allocate it.
+        const msgpack::unpack_limit limit(bytes.size(), bytes.size(),
+                                          bytes.size(), bytes.size(),
+                                          bytes.size(), max_codec_depth);
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), n,
+                                            nullptr, nullptr, limit);
         if (n != bytes.size())
             throw codec_error(std::string(name) + ": " +
                               std::to_string(bytes.size() - n) +
--- a/test/correctness/core_codec.cpp
+++ b/test/correctness/core_codec.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST_SUITE(core_codec);
     CPPUNIT_TEST(struct_survives_round_trip);
     CPPUNIT_TEST(damaged_bytes_are_rejected_with_their_source);
+    CPPUNIT_TEST(claimed_sizes_beyond_the_bytes_are_rejected);
     CPPUNIT_TEST_SUITE_END();
 
     const sample original{
@@ -53,6 +54,18 @@
         CPPUNIT_ASSERT_THROW(unpack_value<sample>(pack_value(3), "peer"),
                              codec_error);
     }
+
+    void claimed_sizes_beyond_the_bytes_are_rejected()
+    {
+        const std::string huge_array("\xdd\xff\xff\xff\xff", 5);
+        const std::string huge_map("\xdf\xff\xff\xff\xff", 5);
+        const std::string deep(1'000, '\x91');
+        CPPUNIT_ASSERT_THROW(unpack_value<sample>(huge_array, "peer"),
+                             codec_error);
+        CPPUNIT_ASSERT_THROW(unpack_value<sample>(huge_map, "peer"),
+                             codec_error);
+        CPPUNIT_ASSERT_THROW(unpack_value<sample>(deep, "peer"), codec_error);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(core_codec);
