--- a/test/correctness/claims_bucket.cpp
+++ b/test/correctness/claims_bucket.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(claims_share_writes_within_the_budget);
     CPPUNIT_TEST(full_queue_refuses_and_forgets_nothing);
     CPPUNIT_TEST(damaged_head_is_not_overwritten);
+    CPPUNIT_TEST(completed_claim_is_not_released);
     CPPUNIT_TEST(undefined_state_is_rejected);
     CPPUNIT_TEST(settings_out_of_range_are_rejected);
     CPPUNIT_TEST_SUITE_END();
@@ -146,6 +147,19 @@
                              cluster.store.current[head_key(0)].first);
     }
 
+    void completed_claim_is_not_released()
+    {
+        operation release{false, {}, {}};
+        release.entry.state = claim_state::not_run;
+        claim_entry entry;
+        CPPUNIT_ASSERT(decide(&entry, release) == decision::write);
+        entry.state = claim_state::completed;
+        CPPUNIT_ASSERT(decide(&entry, release) == decision::recorded);
+        entry.state = claim_state::claimed;
+        entry.attempt.number = 1;
+        CPPUNIT_ASSERT(decide(&entry, release) == decision::recorded);
+    }
+
     void undefined_state_is_rejected()
     {
         bucket_head head;
