Bound hedges and slots per server, refuse a changed number of claim buckets, add rollout commands

Hedges are charged to the retry budget. Each instance uses its part of a server's slots; with the whole slots each, several instances could fill the same server.

--- a/apps/parsleyplank-ctl/main.cpp
+++ b/apps/parsleyplank-ctl/main.cpp
@@ -8,6 +8,7 @@
 #include <parsleyplank/core/hash.hpp>
 #include <parsleyplank/ctl/change.hpp>
 #include <parsleyplank/ctl/fleet_view.hpp>
+#include <parsleyplank/rollout/rollout.hpp>
 #include <parsleyplank/store/http_instance_list.hpp>
 #include <parsleyplank/store/http_kv_store.hpp>
 
@@ -33,6 +34,7 @@
 constexpr int exit_unconfirmed = 3;
 
 constexpr milliseconds poll_pause{100};
+constexpr milliseconds rollout_poll_pause{1'000};
 // Added to the freshness bound when waiting for a change to be in force.
 constexpr milliseconds confirm_margin{1'000};
 
@@ -44,6 +46,9 @@
   key withdraw               withdraw a key, read from standard input
   server leave SERVER        no new work for a backend server
   server return SERVER       let it work again
+  rollout                    state of the rollouts on every instance
+  rollout wait UPSTREAM      wait until a rollout is done (0) or rolled back (1)
+  rollout retry UPSTREAM     start a rollout that was rolled back once more
 With --digest HEX the key commands take the SHA-256 of the key instead.)";
 
 struct options
@@ -268,6 +273,95 @@
                   });
 }
 
+std::string rollout_line(const nlohmann::json& r)
+{
+    std::ostringstream out;
+    out << r.value("upstream", std::string()) << ' '
+        << r.value("from", std::string()) << " to "
+        << r.value("to", std::string()) << ": "
+        << r.value("phase", std::string()) << ", share "
+        << r.value("share_ppm", 0) << " ppm"
+        << (r.value("late", false) ? ", late" : "");
+    const auto evidence = r.value("evidence", std::string());
+    return out.str() + (evidence.empty() ? "" : ", " + evidence);
+}
+
+int show_rollouts(const options& o)
+{
+    store::http_instance_list list(o.list);
+    for (const auto& view : ctl::view_fleet(list))
+        for (const auto& r : view.status.value_or(nlohmann::json::object())
+                                 .value("rollouts", nlohmann::json::array()))
+            std::cout << (o.json ? r.dump()
+                                 : view.info.id.value + "  " + rollout_line(r))
+                      << '\n';
+    return exit_done;
+}
+
+std::string rollout_key(const std::string& upstream)
+{
+    return "state/rollout/" + upstream;
+}
+
+rollout::rollout_record read_rollout(store::kv_store& kv,
+                                     const std::string& upstream)
+{
+    const auto read = kv.get(rollout_key(upstream));
+    if (!read.found)
+        throw error("upstream '" + upstream + "' has no rollout");
+    return unpack_value<rollout::rollout_record>(read.found->value,
+                                                 read.found->key);
+}
+
+int wait_rollout(const options& o, const std::string& upstream)
+{
+    store::http_kv_store kv(o.store);
+    auto record = read_rollout(kv, upstream);
+    while (record.state == rollout::phase::running)
+    {
+        std::this_thread::sleep_for(rollout_poll_pause);
+        record = read_rollout(kv, upstream);
+    }
+    std::cout << upstream << ' ' << record.what.from.value << " to "
+              << record.what.to.value << ": "
+              << rollout::to_string(record.state)
+              << (record.late ? ", late" : "")
+              << (record.evidence.empty() ? "" : ", " + record.evidence)
+              << '\n';
+    return record.state == rollout::phase::done ? exit_done : exit_failed;
+}
+
+// Removes the record; the instances start the rollout anew.
+int retry_rollout(const options& o, const std::string& upstream)
+{
+    store::http_kv_store kv(o.store);
+    const auto read = kv.get(rollout_key(upstream));
+    if (!read.found ||
+        read_rollout(kv, upstream).state != rollout::phase::rolled_back)
+        throw error("upstream '" + upstream +
+                    "' has no rollout that was rolled back");
+    // A new epoch tells the new rollout from the one that was rolled back.
+    const auto done = change(o, [](config::bundle&) {});
+    if (!kv.compare_and_delete(read.found->key, read.found->key_revision)
+             .applied)
+        throw error("the rollout of '" + upstream +
+                    "' has changed meanwhile; look at it again");
+    return done;
+}
+
+int change_rollout(const options& o)
+{
+    const auto& c = o.command;
+    if (c.size() == 1)
+        return show_rollouts(o);
+    if (c.size() == 3 && c[1] == "wait")
+        return wait_rollout(o, c[2]);
+    if (c.size() == 3 && c[1] == "retry")
+        return retry_rollout(o, c[2]);
+    throw usage_error("use 'rollout', 'rollout wait UPSTREAM' or 'rollout "
+                      "retry UPSTREAM'");
+}
+
 int run_command(const options& o)
 {
     const auto& c = o.command;
@@ -281,6 +375,8 @@
         return change_key(o);
     if (c[0] == "server")
         return change_server(o);
+    if (c[0] == "rollout")
+        return change_rollout(o);
     throw usage_error("unknown command '" + c[0] + "'; see --help");
 }
 
--- a/scripts/local-fleet.sh
+++ b/scripts/local-fleet.sh
@@ -4,6 +4,7 @@
 fleet_dir=${FLEET_DIR:-$(mktemp -d /tmp/parsleyplank-fleet.XXXXXX)}
 bin=${BUILD_DIR:-build}
 platform_address=127.0.0.1
+base_port=${BASE_PORT:-20800}
 platform_port=${PLATFORM_PORT:-20700}
 platform=$platform_address:$platform_port
 declare -A pids=()
@@ -46,9 +47,10 @@
   fail "$text did not happen within $limit s"
 }
 
-# field JSON NAME: prints a top-level string or number of a JSON object.
+# field JSON NAME: prints the first string or number of this name.
 field() {
-  sed -n "s/.*\"$2\":\"\\{0,1\\}\\([^\",}]*\\).*/\\1/p" <<<"$1"
+  grep -o "\"$2\":\"\{0,1\}[^\",}]*" <<<"$1" | head -n 1 |
+    sed 's/^[^:]*:"\{0,1\}//'
 }
 
 start_platform() {
@@ -78,7 +80,7 @@
 
 # entry_ports NAME-OR-NUMBER: sets caller_port, admin_port and peer_port.
 entry_ports() {
-  caller_port=$((20800 + $1 * 10))
+  caller_port=$((base_port + $1 * 10))
   admin_port=$((caller_port + 1))
   peer_port=$((caller_port + 2))
 }
--- a/src/config/fleet_file.cpp
+++ b/src/config/fleet_file.cpp
@@ -28,7 +28,7 @@
     v.claim_retention =
         from.duration("claim_retention_s", "86400", v.claim_retention);
     v.claim_buckets = static_cast<std::uint32_t>(
-        from.integer("claim_buckets", "64", 0, max_count, v.claim_buckets));
+        from.integer("claim_buckets", "16", 0, max_count, v.claim_buckets));
     v.claim_write_rate =
         from.number("claim_writes_per_s", "30", v.claim_write_rate);
     v.shift_cap = from_percent(from.number(
--- a/src/config/model.hpp
+++ b/src/config/model.hpp
@@ -135,7 +135,8 @@
     milliseconds borrow_wait{250};
     milliseconds claim_wait{2'000};
     std::chrono::seconds claim_retention{86'400};
-    std::uint32_t claim_buckets = 64;
+    // Must not change while claims are kept.
+    std::uint32_t claim_buckets = 16;
     // Claim writes per second of one instance.
     double claim_write_rate = 30;
     // Largest change of a region's weight per interval.
--- a/src/config/publish.cpp
+++ b/src/config/publish.cpp
@@ -182,6 +182,20 @@
                            "\"; check the store and the files");
 }
 
+// A key that moves to another bucket could be claimed a second time, so an
+// order could run twice.
+void require_same_buckets(const bundle& in_force, const bundle& content)
+{
+    const auto held = in_force.settings.claim_buckets;
+    const auto wanted = content.settings.claim_buckets;
+    if (!in_force.settings.name.empty() && held != wanted)
+        throw config_error("claim_buckets is " + std::to_string(held) +
+                           " in the configuration in force and must not "
+                           "change to " +
+                           std::to_string(wanted) +
+                           ": keys claimed before could run a second time");
+}
+
 const part_digest& root_of(const std::vector<section_ref>& sections,
                            std::string_view name)
 {
@@ -294,6 +308,7 @@
 {
     require_valid(content);
     require_same_fleet(base.content, content);
+    require_same_buckets(base.content, content);
     const auto encoded = encode_bundle(content);
     write_parts(store, encoded.parts, base, limits);
     const auto next = successor(base.description, encoded.sections, by);
--- a/src/entry/claim_agent.hpp
+++ b/src/entry/claim_agent.hpp
@@ -20,7 +20,7 @@
 {
     claims::attempt_table attempts;
     claims::bucket_writer writer;
-    std::uint32_t buckets = 64;
+    std::uint32_t buckets = 16;
     // Usable instances when the buckets were last assigned.
     std::vector<instance_id> live;
 
--- a/src/entry/request_dispatch.cpp
+++ b/src/entry/request_dispatch.cpp
@@ -92,7 +92,7 @@
     return owner != nullptr && *owner == r.routed.customer->id;
 }
 
-dataplane::backend_call make_call(const active_request& r)
+dataplane::backend_call make_call(const active_request& r, bool hedging_allowed)
 {
     const auto& routed = r.routed;
     dataplane::backend_call call;
@@ -110,7 +110,8 @@
     const bool idempotent =
         routed.route->execution == execution_mode::idempotent;
     call.fresh_connection = !idempotent;
-    call.hedge_after = idempotent ? hedge_after : milliseconds(0);
+    if (idempotent && hedging_allowed)
+        call.hedge_after = hedge_after;
     return call;
 }
 
@@ -123,8 +124,10 @@
          r.place->server.id.value + " in " + r.place->region.value +
              ", version " + r.place->server.version.value + ", try " +
              std::to_string(r.tries));
+    const auto& budget =
+        flow.upstreams.upstreams.at(r.routed.route->upstream).retries;
     flow.backends.send(
-        make_call(r),
+        make_call(r, budget.available >= 1),
         [&flow, &context, number](dataplane::call_result result)
         {
             context.loop.post(
@@ -240,6 +243,21 @@
     return true;
 }
 
+// A hedge is charged to the retry budget when it is known to have been made.
+// Calls that were under way together may overdraw the budget; the debt keeps
+// later calls from hedging.
+void charge_hedge(request_flow& flow, node_context& context, active_request& r,
+                  const dataplane::call_result& result)
+{
+    if (!result.hedged)
+        return;
+    flow.upstreams.upstreams.at(r.routed.route->upstream).retries.available -=
+        1;
+    context.counters.count_retry(retry_reason::silent_connection);
+    note(context, r, "retry",
+         "the connection was silent; sent again on a new one");
+}
+
 // Reports the try to the rollout, if one runs. A try that says nothing about
 // the server says nothing about its version either.
 void record_version(request_flow& flow, node_context& context,
@@ -260,6 +278,7 @@
 {
     auto& r = flow.active.at(number);
     const auto verdict = judge_try(result);
+    charge_hedge(flow, context, r, result);
     record_version(flow, context, r, verdict, result.duration);
     release(flow.upstreams, context, r.routed.route->upstream, *r.place,
             verdict.server, result.duration);
--- a/src/entry/upstream_pool.cpp
+++ b/src/entry/upstream_pool.cpp
@@ -39,6 +39,27 @@
     return ids;
 }
 
+// Part of a capacity that this instance may use, rounded down so that the parts
+// of all instances never exceed the whole.
+std::uint32_t part_of(std::uint32_t slots, share_ppm share)
+{
+    return static_cast<std::uint32_t>(std::uint64_t(slots) * share.value /
+                                      ppm_total);
+}
+
+// Divides this instance's part of a region's slots among the servers of its
+// subset. With the whole slots of a server each, several instances could fill
+// the same one.
+void spread_slots(region_servers& target, share_ppm share)
+{
+    const auto servers = std::max<std::size_t>(1, target.pool.servers.size());
+    const auto allowed = part_of(target.slots, share);
+    const auto each =
+        static_cast<std::uint32_t>((allowed + servers - 1) / servers);
+    target.pool.options.slots_per_server =
+        std::clamp(each, 1U, std::max(1U, target.slots_per_server));
+}
+
 void configure_region(region_servers& target, const upstream_pool& pool,
                       const node_context& context, const config::upstream& u,
                       const std::vector<backend_server>& servers)
@@ -49,25 +70,18 @@
     target.versions.clear();
     std::ranges::for_each(servers, [&](const backend_server& s)
                           { target.versions[s.id] = s.version; });
-    target.pool.options.slots_per_server = u.slots_per_server;
+    target.slots_per_server = u.slots_per_server;
     const auto subset = placement::choose_subset(
         context.config.id, u.id, ids_of(servers), u.connection_budget,
         pool.instances, u.slots_per_server);
     placement::set_members(target.pool, subset, now);
     placement::set_members(target.health, subset);
+    spread_slots(target, pool.share);
     std::ranges::for_each(
         servers, [&](const backend_server& s)
         { placement::set_leaving(target.pool, s.id, s.leaving); });
 }
 
-// Part of a capacity that this instance may use, rounded down so that the parts
-// of all instances never exceed the whole.
-std::uint32_t part_of(std::uint32_t slots, share_ppm share)
-{
-    return static_cast<std::uint32_t>(std::uint64_t(slots) * share.value /
-                                      ppm_total);
-}
-
 std::vector<region_id> preferred_regions(const upstream_pool& pool,
                                          const region_id& own)
 {
@@ -320,10 +334,13 @@
         return;
     const bool ejected = placement::record_result(
         servers.health, place.server.id, measured, now);
-    if (ejected)
-        LOG4CPLUS_WARN(part_logger("placement"),
-                       place.server.id.value
-                           << " is ejected after failed requests.");
+    if (!ejected)
+        return;
+    // Its caches are cold when it returns.
+    placement::restart_slow_start(servers.pool, place.server.id, now);
+    LOG4CPLUS_WARN(part_logger("placement"),
+                   place.server.id.value
+                       << " is ejected after failed requests.");
 }
 
 bool warm(const upstream_pool& pool, node_context& context,
--- a/src/entry/upstream_pool.hpp
+++ b/src/entry/upstream_pool.hpp
@@ -25,7 +25,8 @@
 {
     placement::server_pool pool;
     placement::ejection_table health;
-    // Slots of all servers in the region.
+    // Slots of one server, and of all servers in the region.
+    std::uint32_t slots_per_server = 1;
     std::uint32_t slots = 0;
     std::uint32_t in_flight = 0;
     std::map<backend_server_id, version_id> versions;
--- a/test/failure/config_publish.cpp
+++ b/test/failure/config_publish.cpp
@@ -115,6 +115,7 @@
     CPPUNIT_TEST(modification_keeps_client_blocks);
     CPPUNIT_TEST(store_down_publishes_nothing);
     CPPUNIT_TEST(invalid_bundle_is_not_published);
+    CPPUNIT_TEST(number_of_claim_buckets_does_not_change);
     CPPUNIT_TEST(missing_part_is_an_error_that_publishing_repairs);
     CPPUNIT_TEST(unused_parts_are_removed_but_not_those_of_a_publisher);
     CPPUNIT_TEST_SUITE_END();
@@ -299,6 +300,13 @@
         CPPUNIT_ASSERT(load_bundle(store).epoch == epoch(1));
     }
 
+    void number_of_claim_buckets_does_not_change()
+    {
+        content.settings.claim_buckets += 1;
+        CPPUNIT_ASSERT_THROW(publish_as("anna", "mine"), config_error);
+        CPPUNIT_ASSERT(load_bundle(store).epoch == epoch(1));
+    }
+
     void missing_part_is_an_error_that_publishing_repairs()
     {
         std::erase_if(store.entries, [](const auto& v)
