--- a/test/failure/quota_loans.cpp
+++ b/test/failure/quota_loans.cpp
@@ -124,10 +124,11 @@
         const auto grant = borrow(20, full);
         on_message(borrower, a, grant, full + milliseconds(60));
         const auto end = full + milliseconds(990);
+        // A decision before a pause must not be used after the loan's end.
+        const auto result = admit(borrower, shop, full + milliseconds(60));
+        CPPUNIT_ASSERT(result.valid_until == end);
         settle(pool(borrower), end);
         CPPUNIT_ASSERT(pool(borrower).borrowed.empty());
-        // A decision before a pause is not to be used after the loan's end.
-        on_message(borrower, a, grant, full + milliseconds(60));
         settle(pool(lender), end);
         CPPUNIT_ASSERT(pool(lender).home.burst.value < 30.1);
         settle(pool(lender), full + milliseconds(1'000));
