Lend in-flight slots between instances and keep rollout records consistent

Slots were divided by share alone, so the instances of a region could use only their even part of its slots while most of its requests come to them. They now borrow what others do not use; a donation of share leaves slots that are lent or in use alone.

Rollouts: an instance that leads need not follow the store, and a record of an earlier rollout blocked the start of the next (seen in test/process/rollout.sh: rollout 1 to 3 never started after 1 to 2 was rolled back). The record is read before each write now.

--- a/apps/parsleyplank-ctl/main.cpp
+++ b/apps/parsleyplank-ctl/main.cpp
@@ -331,22 +331,43 @@
     return record.state == rollout::phase::done ? exit_done : exit_failed;
 }
 
-// Removes the record; the instances start the rollout anew.
+const config::rollout& find_rollout(const config::bundle& content,
+                                    const std::string& upstream)
+{
+    const auto it = std::ranges::find(content.rollouts, upstream_id(upstream),
+                                      &config::rollout::upstream);
+    if (it == content.rollouts.end())
+        throw error("the configuration has no rollout of upstream '" +
+                    upstream + "'");
+    return *it;
+}
+
+// Replaces the record of a rollout that was rolled back by its first one.
 int retry_rollout(const options& o, const std::string& upstream)
 {
     store::http_kv_store kv(o.store);
     const auto read = kv.get(rollout_key(upstream));
-    if (!read.found ||
-        read_rollout(kv, upstream).state != rollout::phase::rolled_back)
-        throw error("upstream '" + upstream +
-                    "' has no rollout that was rolled back");
-    // A new epoch tells the new rollout from the one that was rolled back.
-    const auto done = change(o, [](config::bundle&) {});
-    if (!kv.compare_and_delete(read.found->key, read.found->key_revision)
+    const auto old = read_rollout(kv, upstream);
+    if (old.state != rollout::phase::rolled_back)
+        throw error("the rollout of upstream '" + upstream +
+                    "' was not rolled back");
+    // A new epoch tells the rollout from the one that was rolled back.
+    config::rollout wanted;
+    const auto confirmed =
+        change(o, [&](const config::bundle& content)
+               { wanted = find_rollout(content, upstream); });
+    const auto started = config::load_manifest(kv).description.epoch();
+    const auto now = std::chrono::duration_cast<milliseconds>(
+        system_clock().wall_now().time_since_epoch());
+    const auto record = rollout::start_record(
+        {wanted.upstream, wanted.from, wanted.to, started},
+        {wanted.duration, wanted.first_share}, now.count());
+    if (!kv.compare_and_swap(rollout_key(upstream), read.found->key_revision,
+                             pack_value(record))
              .applied)
         throw error("the rollout of '" + upstream +
                     "' has changed meanwhile; look at it again");
-    return done;
+    return confirmed;
 }
 
 int change_rollout(const options& o)
--- a/scripts/local-fleet.sh
+++ b/scripts/local-fleet.sh
@@ -36,15 +36,15 @@
 
 # wait_until SECONDS TEXT COMMAND...: repeats the command until it succeeds.
 wait_until() {
-  local limit=$1 text=$2 n
+  local end=$((SECONDS + $1)) text=$2
   shift 2
-  for ((n = 0; n < limit * 10; n++)); do
+  while ((SECONDS < end)); do
     if "$@" >/dev/null 2>&1; then
       return 0
     fi
     sleep 0.1
   done
-  fail "$text did not happen within $limit s"
+  fail "$text did not happen in time"
 }
 
 # field JSON NAME: prints the first string or number of this name.
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -23,7 +23,9 @@
 // callers that fetched theirs just before.
 constexpr milliseconds drain_margin{1'000};
 // Longest wait for requests to end and the share to be handed over.
-constexpr milliseconds finish_limit{15'000};
+// Loans of slots, which last 15 s, have to end before the share can be handed
+// over.
+constexpr milliseconds finish_limit{20'000};
 
 store::http_settings http_settings_for(const settings& s, const endpoint& to)
 {
@@ -159,6 +161,7 @@
                         refresh_members();
                         fetch_missing(feed, *context);
                         tick(quota, *context, contact);
+                        tick(upstreams.slots, *context, contact);
                         run_round(rounds, contact, feed, *context);
                         publish_snapshot();
                     });
@@ -171,7 +174,9 @@
     loop.call_every(second,
                     [this]
                     {
+                        quota.slots_donatable = donatable(upstreams.slots);
                         maintain_shares(quota, *context, contact, feed);
+                        refresh_members();
                         step_weights(upstreams, *context);
                         tick(rollouts, *context, contact);
                         watch->enable(designated(contact, *context));
@@ -213,6 +218,11 @@
         take_batch(claims, *context, from,
                    unpack_value<claims::claim_batch>(body, from.value));
         break;
+    case message_kind::slot_request:
+    case message_kind::slot_grant:
+    case message_kind::slot_return:
+        take_message(upstreams.slots, *context, message);
+        break;
     case message_kind::rollout_brake:
     case message_kind::rollout_report:
     case message_kind::rollout_record:
@@ -242,10 +252,12 @@
     const auto now = loop.now();
     const auto live =
         membership::usable_members(contact.members, now, !contact.draining);
+    const auto local =
+        membership::usable_in_region(contact.members, config.region, now);
     assign_buckets(claims, live);
-    set_share(upstreams, *context,
-              quota::usable_share(feed.shares, quota.state.self),
-              static_cast<std::uint32_t>(live.size()));
+    set_share(upstreams, *context, share_in_use(quota),
+              static_cast<std::uint32_t>(live.size()),
+              static_cast<std::uint32_t>(1 + local.size()));
 }
 
 void node::publish_snapshot()
@@ -340,6 +352,7 @@
                                  : milliseconds(0);
             phase_ends = loop.now() + ttl + drain_margin;
             quota::begin_leaving(quota.state);
+            upstreams.slots.leaving = true;
             publish_snapshot();
         });
 }
--- a/src/entry/quota_agent.cpp
+++ b/src/entry/quota_agent.cpp
@@ -167,6 +167,22 @@
                  usable_members(contact, agent.state.self, now));
 }
 
+// Leaves out what would take away slots that are lent or in use.
+std::vector<quota::donation>
+limit_donations(std::vector<quota::donation> wanted, share_ppm most)
+{
+    auto left = most.value;
+    std::ranges::for_each(wanted,
+                          [&](quota::donation& d)
+                          {
+                              d.share.value = std::min(d.share.value, left);
+                              left -= d.share.value;
+                          });
+    std::erase_if(wanted,
+                  [](const quota::donation& d) { return d.share.value == 0; });
+    return wanted;
+}
+
 std::optional<quota::share_table> next_table(quota_agent& agent,
                                              node_context& context,
                                              const peer_contact& contact,
@@ -180,14 +196,16 @@
     if (agent.state.leaving)
     {
         const auto others = without(members, self);
-        return others.empty()
+        const auto share = quota::usable_share(feed.shares, self);
+        return others.empty() || agent.slots_donatable < share
                    ? std::nullopt
                    : quota::prepare_hand_over(agent.state, others, now);
     }
     const auto* own = quota::find_holder(feed.shares, self);
     if (own != nullptr && own->revoked != epoch())
         return quota::restore(feed.shares, self);
-    const auto wanted = quota::even_split(feed.shares, self, members);
+    const auto wanted = limit_donations(
+        quota::even_split(feed.shares, self, members), agent.slots_donatable);
     if (!wanted.empty())
         return quota::prepare_donations(agent.state, wanted, now);
     return next_reclaim(agent, context, contact, feed);
@@ -233,6 +251,14 @@
         quota::find_holder(feed.shares, agent.state.self) == nullptr;
 }
 
+share_ppm share_in_use(const quota_agent& agent)
+{
+    const auto& state = agent.state;
+    const auto held = quota::usable_share(state.table, state.self).value;
+    const auto given = state.pending ? state.pending->share.value : 0;
+    return share_ppm{held - std::min(held, given)};
+}
+
 void maintain_shares(quota_agent& agent, node_context& context,
                      const peer_contact& contact, state_feed& feed)
 {
--- a/src/entry/quota_agent.hpp
+++ b/src/entry/quota_agent.hpp
@@ -26,6 +26,8 @@
     revision unsettled_base;
     bool write_in_flight = false;
     bool handed_over = false;
+    // Largest share that takes no slot away that is lent or in use.
+    share_ppm slots_donatable{ppm_total};
     milliseconds freshness_bound{3'000};
 
     // Called on the control thread for customers whose waiting requests should
@@ -46,6 +48,10 @@
 void take_table(quota_agent& agent, node_context& context,
                 const state_feed& feed);
 
+// Returns the share that this instance may use: that of the table, less what a
+// donation that is on its way takes.
+share_ppm share_in_use(const quota_agent& agent);
+
 // Makes the write to the share table that is due, if any: creation, donation
 // or reclaim; the hand-over of the whole share while leaving. Call each second.
 void maintain_shares(quota_agent& agent, node_context& context,
--- a/src/entry/request_dispatch.cpp
+++ b/src/entry/request_dispatch.cpp
@@ -209,7 +209,7 @@
 {
     return place(
         flow.upstreams, context,
-        {r.routed.route->upstream,
+        {r.routed.route->upstream, r.deadline,
          static_cast<double>(r.routed.body->size()) + expected_response_bytes,
          &r.tried, version});
 }
@@ -321,9 +321,9 @@
 
 // Gives free slots to queued requests in fair order.
 void serve_queue(request_flow& flow, node_context& context,
-                 upstream_state& upstream)
+                 const upstream_id& id, upstream_state& upstream)
 {
-    while (has_room(flow.upstreams, upstream))
+    while (has_room(flow.upstreams, context, id))
     {
         const auto next = placement::pop(upstream.queue);
         if (!next)
@@ -367,7 +367,7 @@
 {
     expire_queues(flow, context);
     std::ranges::for_each(flow.upstreams.upstreams, [&](auto& it)
-                          { serve_queue(flow, context, it.second); });
+                          { serve_queue(flow, context, it.first, it.second); });
 }
 
 } // namespace parsleyplank::entry
--- a/src/entry/rollout_agent.cpp
+++ b/src/entry/rollout_agent.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-// Records go again to the instances of the region every this many ticks, for
-// those that have just started.
+// The leader sends the record again every this many ticks, for instances that
+// have just started.
 constexpr int relay_ticks = 5;
 
 log4cplus::Logger rollout_log()
@@ -33,16 +33,17 @@
            active.wanted.from == what.from && active.wanted.to == what.to;
 }
 
-void take_record(active_rollout& active, node_context& context,
+// Returns whether the record changed what is held.
+bool take_record(active_rollout& active, node_context& context,
                  const rollout::rollout_record& record)
 {
     if (!concerns(active, record.what))
-        return;
+        return false;
     const auto before = active.state.record;
     rollout::take_record(active.state, record, context.loop.now());
     const auto& now = active.state.record;
     if (now.number == before.number && now.what == before.what)
-        return;
+        return false;
     LOG4CPLUS_INFO(
         rollout_log(),
         now.what.upstream.value
@@ -50,6 +51,7 @@
             << rollout::to_string(now.state) << " at " << now.share.value
             << " ppm" << (now.late ? ", late" : "")
             << (now.evidence.empty() ? "" : ": " + now.evidence));
+    return true;
 }
 
 bool leads(const active_rollout& active, const node_context& context,
@@ -67,6 +69,16 @@
                           { send_to(context, it.first, kind, body); });
 }
 
+void relay(active_rollout& active, node_context& context,
+           const peer_contact& contact, bool due)
+{
+    if (active.state.record.number == 0 || !(due || active.relay_due))
+        return;
+    active.relay_due = false;
+    tell_all(context, contact, peer::message_kind::rollout_record,
+             active.state.record);
+}
+
 void report(const active_rollout& active, node_context& context,
             const std::vector<instance_id>& live)
 {
@@ -77,45 +89,61 @@
                 rollout_report{active.state.record.what, active.state.own});
 }
 
-void finish_write(rollout_agent& agent, node_context& context,
-                  const rollout::rollout_record& record,
-                  const std::optional<store::write_result>& written)
+// Tells whether the record in the store is what a write was decided on. A start
+// replaces whatever an earlier rollout left.
+bool is_base_of(const std::optional<rollout::rollout_record>& found,
+                const rollout::rollout_record& next)
 {
-    const auto it = agent.rollouts.find(record.what.upstream);
-    if (it == agent.rollouts.end())
-        return;
-    auto& active = it->second;
-    active.write_in_flight = false;
-    // After a conflict or an unknown outcome the next read of the store shows
-    // the record and its revision.
-    active.record_revision.reset();
-    if (!written || !written->applied)
-        return;
-    active.record_revision = written->key_revision;
-    take_record(active, context, record);
+    if (next.number == 1)
+        return !found || found->what.started < next.what.started;
+    return found && found->what == next.what &&
+           found->number + 1 == next.number;
+}
+
+// Runs on a store thread. Returns the record that the store holds afterwards;
+// none if that is not known. The read comes first because the instance that
+// leads need not be one that follows the store.
+std::optional<rollout::rollout_record>
+write_to_store(store::kv_store& store, const rollout::rollout_record& next)
+{
+    const auto key = rollout_prefix + next.what.upstream.value;
+    try
+    {
+        const auto read = store.get(key);
+        std::optional<rollout::rollout_record> found;
+        if (read.found)
+            found =
+                unpack_value<rollout::rollout_record>(read.found->value, key);
+        if (!is_base_of(found, next))
+            return found;
+        const auto expected =
+            read.found ? read.found->key_revision : revision();
+        if (store.compare_and_swap(key, expected, pack_value(next)).applied)
+            return next;
+    }
+    catch (const error& ec)
+    {
+        LOG4CPLUS_WARN(rollout_log(), "Record is not written: " << ec.what());
+    }
+    return std::nullopt;
 }
 
 void write_record(rollout_agent& agent, node_context& context,
-                  active_rollout& active, const rollout::rollout_record& record)
+                  active_rollout& active, const rollout::rollout_record& next)
 {
-    auto job = [&agent, &context, record,
-                expected = active.record_revision.value_or(revision())](
-                   store::kv_store& store)
+    auto job = [&agent, &context, next](store::kv_store& store)
     {
-        std::optional<store::write_result> written;
-        try
-        {
-            written = store.compare_and_swap(rollout_prefix +
-                                                 record.what.upstream.value,
-                                             expected, pack_value(record));
-        }
-        catch (const error& ec)
-        {
-            LOG4CPLUS_WARN(rollout_log(),
-                           "Record is not written: " << ec.what());
-        }
-        context.loop.post([&agent, &context, record, written]
-                          { finish_write(agent, context, record, written); });
+        context.loop.post(
+            [&agent, &context, upstream = next.what.upstream,
+             held = write_to_store(store, next)]
+            {
+                const auto it = agent.rollouts.find(upstream);
+                if (it == agent.rollouts.end())
+                    return;
+                it->second.write_in_flight = false;
+                if (held)
+                    take_record(it->second, context, *held);
+            });
     };
     active.write_in_flight = context.store_jobs.submit(std::move(job));
 }
@@ -149,17 +177,14 @@
                  rollout_brake{active.state.record.what, *active.state.brake});
     }
     report(active, context, live);
-    const bool known = active.state.record.number > 0;
-    if (known && agent.ticks % relay_ticks == 0 && active.record_revision)
-        tell_all(context, contact, peer::message_kind::rollout_record,
-                 active.state.record);
-    if (active.write_in_flight || known != active.record_revision.has_value())
-        return;
+    relay(active, context, contact,
+          agent.ticks % relay_ticks == 0 && leads(active, context, live));
     const bool confirmed =
         freshness::judge(contact.fresh, now) == freshness::verdict::confirmed;
-    const auto next =
-        record_to_write(agent, context, active, leads(active, context, live));
-    if (next && confirmed)
+    if (active.write_in_flight || !confirmed)
+        return;
+    if (const auto next = record_to_write(agent, context, active,
+                                          leads(active, context, live)))
         write_record(agent, context, active, *next);
 }
 
@@ -220,11 +245,8 @@
     const auto record =
         unpack_value<rollout::rollout_record>(entry.value, entry.key);
     auto* active = find_rollout(agent, record.what);
-    if (active == nullptr || active->write_in_flight)
-        return;
-    take_record(*active, context, record);
-    if (active->state.record.number == record.number)
-        active->record_revision = entry.key_revision;
+    if (active != nullptr && take_record(*active, context, record))
+        active->relay_due = true;
 }
 
 void take_message(rollout_agent& agent, node_context& context,
--- a/src/entry/rollout_agent.hpp
+++ b/src/entry/rollout_agent.hpp
@@ -39,9 +39,9 @@
 {
     config::rollout wanted;
     rollout::rollout_state state;
-    // Revision of the record; unset while it is known from a peer only.
-    std::optional<revision> record_revision;
     bool write_in_flight = false;
+    // The record has changed and peers may not know it.
+    bool relay_due = false;
 };
 
 struct rollout_agent
--- a/src/entry/upstream_pool.cpp
+++ b/src/entry/upstream_pool.cpp
@@ -39,29 +39,21 @@
     return ids;
 }
 
-// Part of a capacity that this instance may use, rounded down so that the parts
-// of all instances never exceed the whole.
-std::uint32_t part_of(std::uint32_t slots, share_ppm share)
-{
-    return static_cast<std::uint32_t>(std::uint64_t(slots) * share.value /
-                                      ppm_total);
-}
-
-// Divides this instance's part of a region's slots among the servers of its
-// subset. With the whole slots of a server each, several instances could fill
-// the same one.
-void spread_slots(region_servers& target, share_ppm share)
+// Divides this instance's slots in a region among the servers of its subset.
+// With the whole slots of a server each, several instances could fill the same
+// one.
+void spread_slots(region_servers& target, std::uint32_t held)
 {
     const auto servers = std::max<std::size_t>(1, target.pool.servers.size());
-    const auto allowed = part_of(target.slots, share);
     const auto each =
-        static_cast<std::uint32_t>((allowed + servers - 1) / servers);
+        static_cast<std::uint32_t>((held + servers - 1) / servers);
     target.pool.options.slots_per_server =
         std::clamp(each, 1U, std::max(1U, target.slots_per_server));
 }
 
-void configure_region(region_servers& target, const upstream_pool& pool,
+void configure_region(region_servers& target, upstream_pool& pool,
                       const node_context& context, const config::upstream& u,
+                      const region_id& region,
                       const std::vector<backend_server>& servers)
 {
     const auto now = context.loop.now();
@@ -76,7 +68,7 @@
         pool.instances, u.slots_per_server);
     placement::set_members(target.pool, subset, now);
     placement::set_members(target.health, subset);
-    spread_slots(target, pool.share);
+    set_capacity(pool.slots, {u.id, region}, target.slots);
     std::ranges::for_each(
         servers, [&](const backend_server& s)
         { placement::set_leaving(target.pool, s.id, s.leaving); });
@@ -114,16 +106,18 @@
     return it->second.level.value;
 }
 
-placement::region_room make_room(upstream_pool& pool, upstream_state& upstream,
+placement::region_room make_room(upstream_pool& pool,
+                                 const place_request& request,
                                  const region_id& region, const region_id& own,
                                  time_point now)
 {
-    const auto& servers = upstream.regions.at(region);
-    const auto allowed = part_of(servers.slots, pool.share);
+    const auto& servers =
+        pool.upstreams.at(request.upstream).regions.at(region);
     placement::region_room room;
     room.region = region;
     room.healthy = any_usable(servers, now);
-    room.spare_slots = allowed - std::min(allowed, servers.in_flight);
+    room.spare_slots = free_slots(pool.slots, {request.upstream, region},
+                                  request.deadline, now);
     room.local = region == own;
     room.spare_link_bytes =
         room.local ? 0 : spare_link_bytes(pool, region, now);
@@ -131,21 +125,37 @@
 }
 
 std::vector<placement::region_room> make_rooms(upstream_pool& pool,
-                                               upstream_state& upstream,
+                                               const place_request& request,
                                                const region_id& own,
                                                time_point now)
 {
+    const auto& regions = pool.upstreams.at(request.upstream).regions;
     std::vector<placement::region_room> rooms;
     std::ranges::for_each(
         preferred_regions(pool, own),
         [&](const region_id& region)
         {
-            if (upstream.regions.contains(region))
-                rooms.push_back(make_room(pool, upstream, region, own, now));
+            if (regions.contains(region))
+                rooms.push_back(make_room(pool, request, region, own, now));
         });
     return rooms;
 }
 
+// Asks for slots where the request would have gone.
+void note_shortage(upstream_pool& pool, const place_request& request,
+                   const std::vector<placement::region_room>& rooms)
+{
+    const auto& weights = pool.upstreams.at(request.upstream).shift.weights;
+    std::ranges::for_each(
+        rooms,
+        [&](const placement::region_room& room)
+        {
+            const auto it = weights.find(room.region);
+            if (room.spare_slots == 0 && it != weights.end() && it->second > 0)
+                note_wanted(pool.slots, {request.upstream, room.region});
+        });
+}
+
 const backend_server& find_server(const upstream_pool& pool,
                                   const upstream_id& upstream,
                                   const backend_server_id& id)
@@ -193,15 +203,15 @@
                         const config::upstream& u)
 {
     auto& state = pool.upstreams[u.id];
-    std::ranges::for_each(pool.content->regions,
-                          [&](const config::region& region)
-                          {
-                              const auto servers = servers_in(u, region.id);
-                              if (!servers.empty() ||
-                                  state.regions.contains(region.id))
-                                  configure_region(state.regions[region.id],
-                                                   pool, context, u, servers);
-                          });
+    std::ranges::for_each(
+        pool.content->regions,
+        [&](const config::region& region)
+        {
+            const auto servers = servers_in(u, region.id);
+            if (!servers.empty() || state.regions.contains(region.id))
+                configure_region(state.regions[region.id], pool, context, u,
+                                 region.id, servers);
+        });
     if (state.shift.weights.empty())
     {
         const auto weights =
@@ -219,24 +229,34 @@
     return n;
 }
 
+// Load that this instance may put on a region in the long run: the instances of
+// a region share its slots, which they borrow from the others.
+double long_run_capacity(const upstream_pool& pool,
+                         const region_servers& servers, bool own)
+{
+    return own ? double(servers.slots) / pool.local_instances
+               : double(servers.slots) * pool.share.value / ppm_total;
+}
+
 void step_upstream(upstream_pool& pool, node_context& context,
                    upstream_state& upstream)
 {
     if (upstream.shift.weights.empty())
         return;
     const auto now = context.loop.now();
+    const auto& own = context.config.region;
     upstream.demand +=
         demand_weight * (queued_and_in_flight(upstream) - upstream.demand);
     std::vector<placement::region_demand> demands;
     std::ranges::for_each(
-        preferred_regions(pool, context.config.region),
+        preferred_regions(pool, own),
         [&](const region_id& region)
         {
             const auto it = upstream.regions.find(region);
             if (it != upstream.regions.end())
                 demands.push_back(
                     {region, any_usable(it->second, now),
-                     double(part_of(it->second.slots, pool.share))});
+                     long_run_capacity(pool, it->second, region == own)});
         });
     const auto& settings = pool.content->settings;
     placement::step_shift(upstream.shift,
@@ -257,8 +277,10 @@
 }
 
 void set_share(upstream_pool& pool, node_context& context, share_ppm share,
-               std::uint32_t instances)
+               std::uint32_t instances, std::uint32_t local_instances)
 {
+    set_share(pool.slots, share);
+    pool.local_instances = std::max(1U, local_instances);
     if (pool.share == share && pool.instances == instances)
         return;
     pool.share = share;
@@ -279,43 +301,53 @@
     auto& upstream = pool.upstreams.at(request.upstream);
     const auto now = context.loop.now();
     const auto& own = context.config.region;
-    const auto rooms = make_rooms(pool, upstream, own, now);
+    const auto rooms = make_rooms(pool, request, own, now);
     const auto decision = placement::choose_region(
         upstream.shift.weights, rooms, request.expected_bytes, context.rng);
     if (!decision.region)
+    {
+        note_shortage(pool, request, rooms);
         return {std::nullopt, decision.refusal};
-    auto& servers = upstream.regions.at(*decision.region);
-    const auto accepts = [&](const backend_server_id& id)
+    }
+    const slot_pool_id id{request.upstream, *decision.region};
+    auto& servers = upstream.regions.at(id.region);
+    spread_slots(servers, held_slots(pool.slots, id, now));
+    const auto accepts = [&](const backend_server_id& server)
     {
-        return !request.tried->contains(id) &&
+        return !request.tried->contains(server) &&
                (request.version == nullptr ||
-                servers.versions.at(id) == *request.version) &&
-               placement::is_usable(servers.health, id, now);
+                servers.versions.at(server) == *request.version) &&
+               placement::is_usable(servers.health, server, now);
     };
     const auto* chosen =
         placement::choose_server(servers.pool, accepts, now, context.rng);
     if (chosen == nullptr)
         return {std::nullopt, refusal_reason::no_capacity};
-    if (*decision.region != own)
-        quota::take(pool.links.at(*decision.region),
-                    tokens(request.expected_bytes), now);
+    const auto slot = take_slot(pool.slots, id, request.deadline, now);
+    if (!slot)
+        throw error("no slot of " + id.upstream.value + " in " +
+                    id.region.value + " although one was counted as free");
+    if (id.region != own)
+        quota::take(pool.links.at(id.region), tokens(request.expected_bytes),
+                    now);
     ++servers.in_flight;
     if (request.tried->empty())
         placement::record_request(upstream.retries);
-    return {placed_server{*decision.region,
-                          find_server(pool, request.upstream, *chosen)},
+    return {placed_server{id.region,
+                          find_server(pool, request.upstream, *chosen), *slot},
             {}};
 }
 
-bool has_room(const upstream_pool& pool, const upstream_state& upstream)
+bool has_room(const upstream_pool& pool, node_context& context,
+              const upstream_id& upstream)
 {
+    const auto now = context.loop.now();
     return std::ranges::any_of(
-        upstream.shift.weights,
+        pool.upstreams.at(upstream).shift.weights,
         [&](const auto& it)
         {
-            const auto& servers = upstream.regions.at(it.first);
             return it.second > 0 &&
-                   servers.in_flight < part_of(servers.slots, pool.share);
+                   free_slots(pool.slots, {upstream, it.first}, now, now) > 0;
         });
 }
 
@@ -326,6 +358,7 @@
     const auto now = context.loop.now();
     auto& servers = pool.upstreams.at(upstream).regions.at(place.region);
     --servers.in_flight;
+    give_slot_back(pool.slots, {upstream, place.region}, place.slot);
     const bool measured = result == server_result::success;
     placement::finish_request(servers.pool, place.server.id,
                               measured ? latency : std::chrono::microseconds(0),
--- a/src/entry/upstream_pool.hpp
+++ b/src/entry/upstream_pool.hpp
@@ -5,6 +5,7 @@
 // has in its subsets, what runs on them, and the weights of the regions.
 
 #include <parsleyplank/entry/context.hpp>
+#include <parsleyplank/entry/slot_agent.hpp>
 #include <parsleyplank/placement/ejection.hpp>
 #include <parsleyplank/placement/fair_queue.hpp>
 #include <parsleyplank/placement/region_choice.hpp>
@@ -48,21 +49,26 @@
     std::map<upstream_id, upstream_state> upstreams;
     // This instance's share of the link to each other region, in bytes.
     std::map<region_id, quota::token_bucket> links;
+    slot_agent slots;
     // Part of the fleet's capacity that this instance may use.
     share_ppm share;
     // Live instances, among which connection budgets are divided.
     std::uint32_t instances = 1;
+    // Those of them in this instance's region, itself included.
+    std::uint32_t local_instances = 1;
 };
 
 struct placed_server
 {
     region_id region;
     config::backend_server server;
+    quota::slot_ticket slot;
 };
 
 struct place_request
 {
     upstream_id upstream;
+    time_point deadline;
     // Bytes that the request and its response are expected to move.
     double expected_bytes = 0;
     // Servers that were tried already.
@@ -83,9 +89,9 @@
 void configure(upstream_pool& pool, node_context& context,
                std::shared_ptr<const config::bundle> content);
 
-// Sets this instance's share of all capacities and the number of instances.
+// Sets this instance's share of all capacities and the numbers of instances.
 void set_share(upstream_pool& pool, node_context& context, share_ppm share,
-               std::uint32_t instances);
+               std::uint32_t instances, std::uint32_t local_instances);
 
 // Moves the region weights on. Call each second.
 void step_weights(upstream_pool& pool, node_context& context);
@@ -94,9 +100,9 @@
 place_result place(upstream_pool& pool, node_context& context,
                    const place_request& request);
 
-// Tells whether a region that has weight has a free slot of this instance's
-// share.
-bool has_room(const upstream_pool& pool, const upstream_state& upstream);
+// Tells whether a region that has weight has a free slot.
+bool has_room(const upstream_pool& pool, node_context& context,
+              const upstream_id& upstream);
 
 enum class server_result
 {
--- a/src/peer/message.cpp
+++ b/src/peer/message.cpp
@@ -22,7 +22,10 @@
     std::pair(message_kind::claim_batch, "claim_batch"),
     std::pair(message_kind::rollout_brake, "rollout_brake"),
     std::pair(message_kind::rollout_report, "rollout_report"),
-    std::pair(message_kind::rollout_record, "rollout_record")};
+    std::pair(message_kind::rollout_record, "rollout_record"),
+    std::pair(message_kind::slot_request, "slot_request"),
+    std::pair(message_kind::slot_grant, "slot_grant"),
+    std::pair(message_kind::slot_return, "slot_return")};
 
 constexpr std::string_view unknown_kind = "unknown_kind";
 
--- a/src/peer/message.hpp
+++ b/src/peer/message.hpp
@@ -28,7 +28,10 @@
     claim_batch = 9,
     rollout_brake = 10,
     rollout_report = 11,
-    rollout_record = 12
+    rollout_record = 12,
+    slot_request = 13,
+    slot_grant = 14,
+    slot_return = 15
 };
 
 // Returns the name used in logs and metrics, e.g. "loan_grant".
