Keep a tenth of the home rate on instances without demand

Cause: instances without demand lent all of a customer's rate to the one with demand; when that one was killed or frozen, all others refused the customer for the duration of the loans (2 s). Ruled out: shorter loans, which double the messages.

--- a/src/quota/exchange.cpp
+++ b/src/quota/exchange.cpp
@@ -26,6 +26,10 @@
 // trip between regions, a tick, and a half more.
 constexpr double ask_span = 0.4;
 constexpr std::size_t peers_per_ask = 9;
+// Part of its home rate that an instance without demand keeps. Loans to an
+// instance that is killed or paused are lost for their duration; without this
+// part its callers were refused by all others for 2 s.
+constexpr double kept_part = 0.1;
 // Smallest number of tokens worth a message.
 constexpr double least_ask = 0.2;
 // Part of a loan of tokens below which it counts as spent.
@@ -44,6 +48,11 @@
            static_cast<double>(ppm_total) * customer.pool.limits.rate.value;
 }
 
+lending_party make_party(double home, double demand)
+{
+    return {home, std::max(demand, kept_part * home)};
+}
+
 double lent_rate(const customer_pool& pool, const member& borrower)
 {
     double sum = 0;
@@ -113,8 +122,8 @@
                      time_point now)
 {
     rate_plan plan;
-    plan.parties.push_back({home_rate(state, customer, state.self),
-                            per_second(customer.estimate)});
+    plan.parties.push_back(make_party(home_rate(state, customer, state.self),
+                                      per_second(customer.estimate)));
     plan.peers.push_back(0);
     for (std::size_t i = 0; i < state.peers.size(); ++i)
     {
@@ -123,7 +132,7 @@
         if (it == customer.needs.end() || !is_recent(it->second, now))
             continue;
         plan.parties.push_back(
-            {home_rate(state, customer, who), it->second.demand});
+            make_party(home_rate(state, customer, who), it->second.demand));
         plan.peers.push_back(i);
     }
     plan.targets = target_rates(plan.parties);
--- a/test/failure/quota_fleet_faults.cpp
+++ b/test/failure/quota_fleet_faults.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(pauses_of_borrowers_and_lenders);
     CPPUNIT_TEST(kills_and_restarts);
     CPPUNIT_TEST(share_of_a_paused_instance_is_reclaimed);
+    CPPUNIT_TEST(killed_borrower_does_not_starve_the_others);
     CPPUNIT_TEST(limits_change_under_load);
     CPPUNIT_TEST_SUITE_END();
 
@@ -161,6 +162,23 @@
         check(fleet);
     }
 
+    // Loans to a killed instance are lost for their duration.
+    void killed_borrower_does_not_starve_the_others()
+    {
+        quota_fleet fleet(count, limits(), {}, 1);
+        fleet.run_until(fleet.now + seconds(3));
+        for (int n = 0; n < 150; ++n)
+            fleet.at(fleet.now + milliseconds(20 * n),
+                     [&fleet] { fleet.request(0, 0); });
+        fleet.run_until(fleet.now + seconds(3));
+        const auto before = fleet.admitted(0).size();
+        fleet.kill(0);
+        for (std::size_t i = 1; i < count; ++i)
+            fleet.request(i, 0);
+        fleet.run_until(fleet.now + seconds(1));
+        CPPUNIT_ASSERT_EQUAL(before + count - 1, fleet.admitted(0).size());
+    }
+
     void limits_change_under_load()
     {
         quota_fleet fleet(count, limits(), {}, 1);
