--- a/tools/benchmarks/capacity/main.cpp
+++ b/tools/benchmarks/capacity/main.cpp
@@ -27,7 +27,10 @@
                            role{"rollout", &measure_rollout},
                            role{"lookup", &measure_lookup},
                            role{"claims", &measure_claims},
-                           role{"placement", &measure_placement}};
+                           role{"placement", &measure_placement},
+                           role{"http", &measure_http},
+                           role{"transport", &measure_transport},
+                           role{"store", &measure_store}};
 
 } // namespace
 
--- a/tools/benchmarks/capacity/measure.hpp
+++ b/tools/benchmarks/capacity/measure.hpp
@@ -73,6 +73,9 @@
 void measure_lookup();
 void measure_claims();
 void measure_placement();
+void measure_http();
+void measure_transport();
+void measure_store();
 
 } // namespace parsleyplank::capacity
 
