--- a/tools/benchmarks/capacity/lookup.cpp
+++ b/tools/benchmarks/capacity/lookup.cpp
@@ -28,6 +28,7 @@
                                    {}});
     std::vector<lookup::block> list;
     std::vector<std::string> queries;
+    queries.reserve(4'096);
     std::mt19937_64 random(1);
     for (std::size_t i = 0; i < blocks; ++i)
     {
@@ -55,22 +56,30 @@
         queries.push_back("client=" +
                           address_text(2 * (random() % blocks) + (16U << 16U)));
     std::vector<config::ip_address> addresses;
+    addresses.reserve(65'536);
     for (int i = 0; i < 65'536; ++i)
         addresses.push_back(
             {false, 0, ((2 * (random() % blocks) + (16U << 16U)) << 8U) + 1});
     const double finding = cpu_us_of(
         [&](std::size_t i)
         { keep(snapshot.blocks->find(addresses[i % addresses.size()])); });
+    const double copying = cpu_us_of(
+        [&](std::size_t)
+        {
+            const lookup::block_table copy = *snapshot.blocks;
+            keep(copy);
+        });
     const auto answer = [&](std::size_t i)
     {
         return lookup::to_json(lookup::answer_lookup(
             snapshot, lookup::parse_lookup(queries[i % queries.size()])));
     };
     const double answering = cpu_us_of([&](std::size_t i) { keep(answer(i)); });
-    std::printf("%8zu %9zu %8.3f %9.2f %7zu %9.2f %11.2f %10.0f\n", blocks,
-                instances, finding, answering, answer(0).size(),
+    std::printf("%8zu %9zu %8.3f %9.2f %7zu %9.2f %11.2f %10.0f "
+                "%8.0f\n",
+                blocks, instances, finding, answering, answer(0).size(),
                 static_cast<double>(snapshot.blocks->memory_bytes()) / 1e6,
-                memory / 1e6, building);
+                memory / 1e6, building, copying);
 }
 
 } // namespace
@@ -80,7 +89,7 @@
     std::printf("look-up: CPU us of the table, and of parsing, ranking and "
                 "JSON; no HTTP\n");
     std::printf("  blocks inst/regn  find_us answer_us  JSON_B  table_MB "
-                "instance_MB   build_us\n");
+                "instance_MB   build_us  copy_us\n");
     for (const std::size_t instances : {4, 32, 96})
         measure(570'000, instances);
     measure(57'000, 32);
--- a/tools/benchmarks/capacity/network.cpp
+++ b/tools/benchmarks/capacity/network.cpp
@@ -3,11 +3,13 @@
 
 #include "measure.hpp"
 #include "standin/store_server.hpp"
+#include "standin/store_wire.hpp"
 #include "support/raw_connection.hpp"
 #include <parsleyplank/dataplane/backend_client.hpp>
 #include <parsleyplank/dataplane/header_filter.hpp>
 #include <parsleyplank/dataplane/http_front.hpp>
 #include <parsleyplank/peer/nng_transport.hpp>
+#include <parsleyplank/store/http_instance_list.hpp>
 #include <parsleyplank/store/http_kv_store.hpp>
 
 #include <unistd.h>
@@ -56,6 +58,7 @@
 double server_cpu_us(std::uint16_t port, int connections)
 {
     std::atomic<double> callers_cpu = 0;
+    std::atomic<int> failed = 0;
     const auto call = [&]
     {
         const double begin = thread_cpu_us();
@@ -65,7 +68,7 @@
             connection.send("GET /v1/lookup?client=10.0.0.1 HTTP/1.1\r\n"
                             "Host: a\r\nConnection: keep-alive\r\n"
                             "X-Api-Key: some-key\r\n\r\n");
-            keep(connection.receive());
+            failed += connection.receive().status == 200 ? 0 : 1;
         }
         callers_cpu += thread_cpu_us() - begin;
     };
@@ -76,6 +79,8 @@
         callers.emplace_back(call);
     for (auto& it : callers)
         it.join();
+    if (failed > 0)
+        throw error(std::to_string(failed) + " requests failed");
     return (cpu_us() - begin - callers_cpu) / requests;
 }
 
@@ -174,6 +179,33 @@
     std::printf("%8zu %9.1f %9.1f %9.1f\n", bytes, swap, list, watch);
 }
 
+void measure_list(std::size_t n)
+{
+    standin::store_server server("127.0.0.1", 0);
+    std::vector<store::listed_instance> all;
+    server.with_core(
+        [&](standin::store_core& core)
+        {
+            for (std::size_t i = 0; i < n; ++i)
+            {
+                all.push_back({instance_name(i), incarnation(1'760'000'000'000),
+                               region_id("region-1"),
+                               failure_domain_id("region-1-a"), "10.0.0.1",
+                               8'000, 8'001, 8'002});
+                put_instance(core, all.back(), time_point());
+            }
+        });
+    store::http_instance_list list(
+        store::http_settings{"127.0.0.1", server.port()});
+    keep(list.read());
+    constexpr int reads = 20;
+    const double begin = thread_cpu_us();
+    for (int i = 0; i < reads; ++i)
+        keep(list.read());
+    std::printf("%9zu %9zu %9.0f\n", n, standin::to_text(all).size(),
+                (thread_cpu_us() - begin) / reads);
+}
+
 } // namespace
 
 void measure_http()
@@ -202,6 +234,10 @@
     std::printf("   bytes   swap_us   list_us  watch_us\n");
     for (const std::size_t bytes : {1'000, 10'000, 80'000})
         measure_calls(bytes);
+    std::printf("instance list: bytes of one read, CPU us of the reader\n");
+    std::printf("instances     bytes   read_us\n");
+    for (const std::size_t n : {10, 100, 1'000, 2'300})
+        measure_list(n);
 }
 
 } // namespace parsleyplank::capacity
--- a/tools/benchmarks/capacity/relay.cpp
+++ b/tools/benchmarks/capacity/relay.cpp
@@ -4,6 +4,9 @@
 #include "support/sample_bundle.hpp"
 #include <parsleyplank/config/adoption.hpp>
 #include <parsleyplank/entry/snapshot.hpp>
+#include <parsleyplank/peer/message.hpp>
+
+#include <tuple>
 
 namespace parsleyplank::capacity
 {
@@ -87,6 +90,21 @@
                 sum.bytes, sum.cpu, table);
 }
 
+// Bytes of a message that carries one changed block and the new root of its
+// section: the form that a relay of single items would send.
+std::size_t delta_bytes(const config::bundle& content)
+{
+    const auto& block = content.client_blocks.front();
+    return peer::encode_envelope(
+               {instance_name(0), incarnation(1'760'000'000'000), 100'000,
+                peer::message_kind::config_reply,
+                pack_value(std::make_tuple(
+                    epoch(1'000'000),
+                    std::string(config::client_blocks_section), block.prefix,
+                    block.region, sha256_hex("root").substr(0, 32)))})
+        .size();
+}
+
 void measure(std::size_t n)
 {
     auto content = large_bundle(n);
@@ -116,8 +134,10 @@
     changed.keys.pop_back();
     print(n, "withdrawn key", state, encoded, config::encode_bundle(changed),
           tables->blocks);
-    std::printf("%8zu memory: parts %.1f MB, block table and keys %.1f MB\n", n,
-                (adopted - before) / 1e6, (with_table - adopted) / 1e6);
+    std::printf("%8zu memory: %zu parts %.1f MB, block table and keys %.1f "
+                "MB; one item alone %zu B\n",
+                n, encoded.parts.size(), (adopted - before) / 1e6,
+                (with_table - adopted) / 1e6, delta_bytes(content));
 }
 
 } // namespace
