--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -1,6 +1,5 @@
-#include <parsleyplank/load/caller.hpp>
-
 #include <parsleyplank/core/error.hpp>
+#include <parsleyplank/load/caller.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -68,8 +67,7 @@
     return list;
 }
 
-next_step decide(const request_progress& progress,
-                 const attempt_result& result)
+next_step decide(const request_progress& progress, const attempt_result& result)
 {
     const auto outcome = result.sent ? result.outcome : run_outcome::not_run;
     if (result.sent && result.answered && outcome == run_outcome::result)
--- a/src/load/histogram.cpp
+++ b/src/load/histogram.cpp
@@ -57,9 +57,9 @@
     if (h.count == 0)
         return microseconds(0);
     const double share = std::clamp(q, 0.0, 1.0);
-    const auto rank = std::max<std::uint64_t>(
-        1, static_cast<std::uint64_t>(
-               std::ceil(share * static_cast<double>(h.count))));
+    const auto rank =
+        std::max<std::uint64_t>(1, static_cast<std::uint64_t>(std::ceil(
+                                       share * static_cast<double>(h.count))));
     std::uint64_t seen = 0;
     const auto it = std::ranges::find_if(h.buckets,
                                          [&](std::uint64_t n)
--- a/src/load/http_calls.cpp
+++ b/src/load/http_calls.cpp
@@ -1,6 +1,5 @@
-#include <parsleyplank/load/http_calls.hpp>
-
 #include <parsleyplank/core/error.hpp>
+#include <parsleyplank/load/http_calls.hpp>
 
 #include <curl/curl.h>
 
--- a/src/load/scenario.cpp
+++ b/src/load/scenario.cpp
@@ -1,7 +1,6 @@
-#include <parsleyplank/load/scenario.hpp>
-
 #include <parsleyplank/config/toml_reader.hpp>
 #include <parsleyplank/core/error.hpp>
+#include <parsleyplank/load/scenario.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -56,7 +55,8 @@
 // Characters above the visible ones of ASCII would change a request's head.
 bool is_visible(const std::string& text)
 {
-    return std::ranges::all_of(text, [](char c) { return c > ' ' && c <= '~'; });
+    return std::ranges::all_of(text,
+                               [](char c) { return c > ' ' && c <= '~'; });
 }
 
 std::string visible(config::table_reader& from, const std::string& key,
@@ -166,9 +166,8 @@
     const auto it = kinds.find(from.text("execution", "\"idempotent\""));
     if (it != kinds.end())
         return it->second;
-    from.report("execution",
-                "execution must be \"idempotent\", \"once\" or "
-                "\"at_most_once\"");
+    from.report("execution", "execution must be \"idempotent\", \"once\" or "
+                             "\"at_most_once\"");
     return execution::once;
 }
 
@@ -191,8 +190,8 @@
     if (route.repeat_probability > 0 && route.kind != execution::at_most_once)
         from.report("repeat_probability",
                     "only at_most_once routes can be repeated");
-    route.repeat_after = milliseconds(
-        from.integer("repeat_after_ms", "500", 0, most_ms, 500));
+    route.repeat_after =
+        milliseconds(from.integer("repeat_after_ms", "500", 0, most_ms, 500));
     route.timeout =
         milliseconds(from.integer("timeout_ms", "10000", 1, most_ms, 10'000));
     return route;
@@ -233,10 +232,12 @@
     auto& s = to.result;
     s.name = filled(root, "name", "\"skuffedel\"");
     s.duration_s = bounded(root, "duration_s", "30", 0.001, most_seconds);
-    s.seed = static_cast<std::uint64_t>(root.integer(
-        "seed", "1", 0, std::numeric_limits<std::int64_t>::max()));
+    s.seed = static_cast<std::uint64_t>(
+        root.integer("seed", "1", 0, std::numeric_limits<std::int64_t>::max()));
     const auto list = [&](const std::string& key, auto& items, auto read)
-    { config::read_list(root, key, to.files, to.file, items, read); };
+    {
+        config::read_list(root, key, to.files, to.file, items, read);
+    };
     using reader = config::table_reader;
     list("region", s.regions, [](reader& r) { return read_region(r); });
     list("customer", s.customers,
@@ -268,9 +269,8 @@
     }
     catch (const toml::parse_error& e)
     {
-        throw config_error(file + ":" +
-                           std::to_string(e.source().begin.line) + ": " +
-                           std::string(e.description()));
+        throw config_error(file + ":" + std::to_string(e.source().begin.line) +
+                           ": " + std::string(e.description()));
     }
     if (!to.files.problems.empty())
         throw config_error(config::to_string(to.files.problems));
--- a/src/load/schedule.cpp
+++ b/src/load/schedule.cpp
@@ -1,5 +1,4 @@
 #include <parsleyplank/load/schedule.hpp>
-
 #include <parsleyplank/quota/token_bucket.hpp>
 
 #include <algorithm>
@@ -22,8 +21,8 @@
 {
     const double t =
         customer.period_s > 0 ? std::fmod(at_s, customer.period_s) : at_s;
-    const auto it = std::ranges::upper_bound(customer.phases, t, {},
-                                             &skew_phase::from_s);
+    const auto it =
+        std::ranges::upper_bound(customer.phases, t, {}, &skew_phase::from_s);
     return it == customer.phases.begin() ? *it : *std::prev(it);
 }
 
@@ -70,9 +69,8 @@
 {
     if (customer.rate_limit_per_s <= 0)
         return;
-    auto bucket =
-        quota::empty_bucket(token_rate{customer.rate_limit_per_s},
-                            tokens{customer.burst}, time_point{});
+    auto bucket = quota::empty_bucket(token_rate{customer.rate_limit_per_s},
+                                      tokens{customer.burst}, time_point{});
     bucket.level = tokens{customer.burst};
     std::ranges::for_each(list,
                           [&](arrival& a)
--- a/src/load/tally.cpp
+++ b/src/load/tally.cpp
@@ -25,8 +25,8 @@
 
 std::uint64_t sum(const std::map<std::string, std::uint64_t>& counts)
 {
-    return std::transform_reduce(counts.begin(), counts.end(),
-                                 std::uint64_t{0}, std::plus<>(),
+    return std::transform_reduce(counts.begin(), counts.end(), std::uint64_t{0},
+                                 std::plus<>(),
                                  [](const auto& item) { return item.second; });
 }
 
@@ -40,10 +40,11 @@
 double served_part(const tally& t)
 {
     const auto part = [](std::uint64_t n, std::uint64_t all)
-    { return static_cast<double>(n) / static_cast<double>(all); };
-    return t.within_rate > 0
-               ? 1 - part(t.unserved_within_rate, t.within_rate)
-               : part(t.results, t.sent);
+    {
+        return static_cast<double>(n) / static_cast<double>(all);
+    };
+    return t.within_rate > 0 ? 1 - part(t.unserved_within_rate, t.within_rate)
+                             : part(t.results, t.sent);
 }
 
 nlohmann::json to_json(const tally& t)
@@ -77,8 +78,7 @@
         << std::setw(9) << t.refused_within_rate << std::setw(8) << t.replayed;
     out << std::fixed << std::setprecision(1);
     constexpr std::array quantiles{0.5, 0.9, 0.99, 0.999};
-    std::ranges::for_each(quantiles,
-                          [&](double q)
+    std::ranges::for_each(quantiles, [&](double q)
                           { out << std::setw(9) << quantile_ms(t, q); });
     out << std::setw(9) << to_ms(t.latency.largest) << '\n';
 }
@@ -129,7 +129,9 @@
     const auto add_to = [](auto& counts)
     {
         return [&counts](const auto& item)
-        { counts[item.first] += item.second; };
+        {
+            counts[item.first] += item.second;
+        };
     };
     std::ranges::for_each(other.not_run, add_to(to.not_run));
     std::ranges::for_each(other.unknown_by_reason,
@@ -212,11 +214,9 @@
         merge(total, sum(results.counts[n]));
     }
     write_line(out, "total", "", total);
-    std::ranges::for_each(total.not_run,
-                          [&](const auto& item) {
-                              out << "not run, " << item.first << ": "
-                                  << item.second << '\n';
-                          });
+    std::ranges::for_each(
+        total.not_run, [&](const auto& item)
+        { out << "not run, " << item.first << ": " << item.second << '\n'; });
     out << "worst served: " << worst_served(results)
         << "; attempts cut off: " << total.cut_off_attempts
         << "; further attempts: " << total.further_attempts
