--- a/scripts/local-fleet.sh
+++ b/scripts/local-fleet.sh
@@ -6,6 +6,9 @@
 platform_address=127.0.0.1
 platform_port=${PLATFORM_PORT:-20700}
 platform=$platform_address:$platform_port
+# Entry instances use the ports above this one, ten each, so that fleets with
+# different platform ports can run side by side.
+entry_base_port=${ENTRY_BASE_PORT:-$((platform_port + 100))}
 declare -A pids=()
 
 stop_all() {
@@ -64,6 +67,22 @@
     fail "fault $1 can't be switched"
 }
 
+# copy_services FOLDER OFFSET: copies a configuration to $fleet_dir/services with
+# the ports of its backend servers moved by the offset, for fleets side by side.
+copy_services() {
+  local file
+  cp -r "$1" "$fleet_dir/services"
+  for file in "$fleet_dir"/services/*/service.toml; do
+    awk -v offset="$2" '
+      match($0, /port = [0-9]+/) {
+        n = substr($0, RSTART + 7, RLENGTH - 7) + offset
+        $0 = substr($0, 1, RSTART + 6) n substr($0, RSTART + RLENGTH)
+      }
+      { print }' "$file" >"$file.new"
+    mv "$file.new" "$file"
+  done
+}
+
 # start_backends FILE: starts a stand-in for each backend server of a service
 # file.
 start_backends() {
@@ -78,13 +97,13 @@
 
 # entry_ports NAME-OR-NUMBER: sets caller_port, admin_port and peer_port.
 entry_ports() {
-  caller_port=$((20800 + $1 * 10))
+  caller_port=$((entry_base_port + $1 * 10))
   admin_port=$((caller_port + 1))
   peer_port=$((caller_port + 2))
 }
 
-# list_entry NUMBER INCARNATION REGION DOMAIN: puts an instance into the
-# platform's list.
+# list_entry NUMBER INCARNATION REGION DOMAIN [LEAVING]: puts an instance into
+# the platform's list; LEAVING is true or false (default).
 list_entry() {
   entry_ports "$1"
   curl -sf -X PUT "http://$platform/v1/instances/entry-$1" -d "{
@@ -123,6 +142,10 @@
     "$fleet_dir/entry-$1.toml"
 }
 
+load() {
+  "$bin/apps/parsleyplank-load/parsleyplank-load" "$@"
+}
+
 ctl() {
   "$bin/apps/parsleyplank-ctl/parsleyplank-ctl" --platform "$platform" "$@"
 }
