--- a/test/correctness/load_measure.cpp
+++ b/test/correctness/load_measure.cpp
@@ -40,8 +40,6 @@
     return std::ranges::count_if(list, &load::arrival::within_rate);
 }
 
-} // namespace
-
 class load_measure : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(load_measure);
@@ -191,3 +189,5 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(load_measure);
+
+} // namespace
--- a/test/correctness/load_scenario.cpp
+++ b/test/correctness/load_scenario.cpp
@@ -58,8 +58,6 @@
     CPPUNIT_ASSERT(problem.find("secret-key") == problem.npos);
 }
 
-} // namespace
-
 class load_scenario : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(load_scenario);
@@ -122,3 +120,5 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(load_scenario);
+
+} // namespace
--- a/test/failure/load_caller.cpp
+++ b/test/failure/load_caller.cpp
@@ -72,13 +72,12 @@
     return load::decide({kind, may_have_run, untried, 1}, result);
 }
 
-} // namespace
-
 class load_caller : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(load_caller);
     CPPUNIT_TEST(steps_follow_outcome);
     CPPUNIT_TEST(unknown_outcome_is_not_sent_again);
+    CPPUNIT_TEST(silent_instance_delays_no_later_request);
     CPPUNIT_TEST(refusals_of_instance_lead_to_next);
     CPPUNIT_TEST_SUITE_END();
 
@@ -133,6 +132,36 @@
         CPPUNIT_ASSERT_EQUAL(t.sent, static_cast<std::uint64_t>(paths["POST"]));
     }
 
+    // A caller that waits for each response would send one request only.
+    void silent_instance_delays_no_later_request()
+    {
+        std::mutex mutex;
+        std::uint64_t posts = 0;
+        std::uint16_t port = 0;
+        test::raw_server server(
+            [&](const std::string& request) -> test::raw_response
+            {
+                const std::lock_guard lock(mutex);
+                if (request.starts_with("GET /v1/lookup"))
+                    return {test::http_text("200 OK", lookup_body(port, port))};
+                ++posts;
+                return {""};
+            });
+        {
+            const std::lock_guard lock(mutex);
+            port = server.port();
+        }
+        auto s = one_route(load::execution::once);
+        s.routes[0].timeout = load::milliseconds(1'000);
+        const auto t = run_to(s, server.port());
+        const std::lock_guard lock(mutex);
+        const auto planned = load::make_schedule(s).size();
+        CPPUNIT_ASSERT(planned > 5);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{planned}, t.sent);
+        CPPUNIT_ASSERT_EQUAL(t.sent, t.unknown);
+        CPPUNIT_ASSERT_EQUAL(t.sent, posts);
+    }
+
     void refusals_of_instance_lead_to_next()
     {
         std::mutex mutex;
@@ -170,3 +199,5 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(load_caller);
+
+} // namespace
