Weight instances in look-up answers by their share

A new instance was named with full weight as soon as it was in contact, a second or more before it was given a share. Without a share it has no slots, so it refused callers with no_capacity during a rolling replacement.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -1,5 +1,6 @@
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/entry/caller_handler.hpp>
+#include <parsleyplank/entry/lookup_instances.hpp>
 #include <parsleyplank/entry/node.hpp>
 #include <parsleyplank/entry/status_report.hpp>
 #include <parsleyplank/store/http_instance_list.hpp>
@@ -257,18 +258,10 @@
     next->lookup.content = feed.tables->content;
     next->lookup.blocks = feed.tables->blocks;
     const auto now = loop.now();
-    std::vector<lookup::live_instance> instances{
-        {config.id, config.region, config.address, config.caller_port,
-         contact.draining}};
-    std::ranges::for_each(
-        contact.members.members,
-        [&](const auto& it)
-        {
-            const auto& info = it.second.info;
-            if (membership::usable(contact.members, info.id, now))
-                instances.push_back(
-                    {info.id, info.region, info.address, info.caller_port});
-        });
+    const auto instances =
+        lookup_instances({config.id, config.region, config.address,
+                          config.caller_port, contact.draining},
+                         config.life, contact.members, feed.shares, now);
     next->lookup.instances = lookup::group_by_region(instances);
     snapshot.store(std::move(next));
 }
