--- a/src/load/compare.cpp
+++ b/src/load/compare.cpp
@@ -18,6 +18,7 @@
     static const std::map<std::string, json::json_pointer> places{
         {"p99_ms", json::json_pointer("/latency_ms/p99")},
         {"refused_within_rate", json::json_pointer("/refused_within_rate")},
+        {"admission_shortfall", json::json_pointer("/admission_shortfall")},
         {"unknown", json::json_pointer("/unknown")}};
     return places;
 }
@@ -90,8 +91,8 @@
 
 const std::vector<std::string>& known_measures()
 {
-    static const std::vector<std::string> names{"p99_ms", "refused_within_rate",
-                                                "unknown"};
+    static const std::vector<std::string> names{
+        "p99_ms", "refused_within_rate", "admission_shortfall", "unknown"};
     return names;
 }
 
--- a/src/load/compare.hpp
+++ b/src/load/compare.hpp
@@ -11,7 +11,8 @@
 namespace parsleyplank::load
 {
 
-// "p99_ms", "refused_within_rate" and "unknown"; lower is better in each.
+// "p99_ms", "refused_within_rate", "admission_shortfall" and "unknown"; lower
+// is better in each.
 const std::vector<std::string>& known_measures();
 
 struct comparison
--- a/src/load/schedule.cpp
+++ b/src/load/schedule.cpp
@@ -75,9 +75,10 @@
     std::ranges::for_each(list,
                           [&](arrival& a)
                           {
-                              a.within_rate = !s.routes[a.route].open &&
-                                              quota::take(bucket, tokens{1},
-                                                          time_point(a.at));
+                              a.limited = !s.routes[a.route].open;
+                              a.within_rate =
+                                  a.limited && quota::take(bucket, tokens{1},
+                                                           time_point(a.at));
                           });
 }
 
--- a/src/load/schedule.hpp
+++ b/src/load/schedule.hpp
@@ -27,6 +27,8 @@
     // request it repeats.
     std::uint64_t number = 0;
     bool repeat = false;
+    // Subject to the customer's rate: sent with a key, and the limit is known.
+    bool limited = false;
     // The customer's rate and burst admit this request, by a token bucket that
     // is full at the start of the run.
     bool within_rate = false;
--- a/src/load/tally.cpp
+++ b/src/load/tally.cpp
@@ -43,8 +43,9 @@
     {
         return static_cast<double>(n) / static_cast<double>(all);
     };
-    return t.within_rate > 0 ? 1 - part(t.unserved_within_rate, t.within_rate)
-                             : part(t.results, t.sent);
+    return t.within_rate > 0
+               ? std::min(1.0, part(t.limited_results, t.within_rate))
+               : part(t.results, t.sent);
 }
 
 nlohmann::json to_json(const tally& t)
@@ -56,7 +57,7 @@
             {"unknown_by_reason", t.unknown_by_reason},
             {"within_rate", t.within_rate},
             {"refused_within_rate", t.refused_within_rate},
-            {"unserved_within_rate", t.unserved_within_rate},
+            {"admission_shortfall", admission_shortfall(t)},
             {"scheduled_repeats", t.scheduled_repeats},
             {"replayed", t.replayed},
             {"cut_off_attempts", t.cut_off_attempts},
@@ -91,7 +92,8 @@
     ++to.sent;
     to.scheduled_repeats += request.repeat ? 1 : 0;
     to.within_rate += request.within_rate ? 1 : 0;
-    to.unserved_within_rate += request.within_rate && !served ? 1 : 0;
+    to.limited += request.limited ? 1 : 0;
+    to.limited_results += request.limited && served ? 1 : 0;
     to.cut_off_attempts += end.cut_off_attempts;
     to.further_attempts += end.further_attempts;
     if (served)
@@ -123,7 +125,8 @@
     to.scheduled_repeats += other.scheduled_repeats;
     to.within_rate += other.within_rate;
     to.refused_within_rate += other.refused_within_rate;
-    to.unserved_within_rate += other.unserved_within_rate;
+    to.limited += other.limited;
+    to.limited_results += other.limited_results;
     to.cut_off_attempts += other.cut_off_attempts;
     to.further_attempts += other.further_attempts;
     const auto add_to = [](auto& counts)
@@ -139,6 +142,14 @@
     merge(to.latency, other.latency);
 }
 
+std::uint64_t admission_shortfall(const tally& t)
+{
+    const auto it =
+        t.not_run.find(std::string(to_string(refusal_reason::customer_rate)));
+    const auto admitted = t.limited - (it == t.not_run.end() ? 0 : it->second);
+    return t.within_rate > admitted ? t.within_rate - admitted : 0;
+}
+
 run_results make_results(const scenario& s)
 {
     run_results results;
@@ -176,17 +187,27 @@
 nlohmann::json to_json(const run_results& results)
 {
     tally total;
+    std::uint64_t shortfall = 0;
     nlohmann::json customers = nlohmann::json::array();
     for (std::size_t n = 0; n < results.counts.size(); ++n)
     {
         const auto all = sum(results.counts[n]);
         merge(total, all);
+        shortfall += admission_shortfall(all);
         auto entry = to_json(all);
         entry["id"] = results.customers[n];
         for (std::size_t r = 0; r < results.routes.size(); ++r)
-            entry["routes"][results.routes[r]] = to_json(results.counts[n][r]);
+        {
+            auto route = to_json(results.counts[n][r]);
+            // The rate holds for the customer, not for a route.
+            route.erase("admission_shortfall");
+            entry["routes"][results.routes[r]] = std::move(route);
+        }
         customers.push_back(std::move(entry));
     }
+    auto all = to_json(total);
+    // A customer that got more does not make up for one that got less.
+    all["admission_shortfall"] = shortfall;
     return {{"scenario", results.scenario},
             {"seed", results.seed},
             {"duration_s", results.duration_s},
@@ -194,7 +215,7 @@
             {"largest_start_delay_ms", to_ms(results.largest_start_delay)},
             {"faults_failed", results.faults_failed},
             {"worst_served", worst_served(results)},
-            {"total", to_json(total)},
+            {"total", std::move(all)},
             {"customers", std::move(customers)}};
 }
 
@@ -206,12 +227,15 @@
            "max ms\n"
         << std::setw(77) << "refused" << '\n';
     tally total;
+    std::uint64_t shortfall = 0;
     for (std::size_t n = 0; n < results.counts.size(); ++n)
     {
         for (std::size_t r = 0; r < results.routes.size(); ++r)
             write_line(out, results.customers[n], results.routes[r],
                        results.counts[n][r]);
-        merge(total, sum(results.counts[n]));
+        const auto all = sum(results.counts[n]);
+        shortfall += admission_shortfall(all);
+        merge(total, all);
     }
     write_line(out, "total", "", total);
     std::ranges::for_each(
@@ -219,6 +243,7 @@
         { out << "not run, " << item.first << ": " << item.second << '\n'; });
     out << "worst served: " << worst_served(results)
         << "; attempts cut off: " << total.cut_off_attempts
+        << "; admissions below the reference: " << shortfall
         << "; further attempts: " << total.further_attempts
         << "; repeats: " << total.scheduled_repeats
         << "; largest start delay: " << to_ms(results.largest_start_delay)
--- a/src/load/tally.hpp
+++ b/src/load/tally.hpp
@@ -39,11 +39,13 @@
     // Results that were stored ones.
     std::uint64_t replayed = 0;
     std::uint64_t scheduled_repeats = 0;
+    // Subject to the customer's rate, the results among these, and those that
+    // the reference bucket admits.
+    std::uint64_t limited = 0;
+    std::uint64_t limited_results = 0;
     std::uint64_t within_rate = 0;
     // "Not run" for customer_rate although within the rate.
     std::uint64_t refused_within_rate = 0;
-    // Within the rate and without a result for any reason.
-    std::uint64_t unserved_within_rate = 0;
     std::uint64_t cut_off_attempts = 0;
     std::uint64_t further_attempts = 0;
     std::map<std::string, std::uint64_t> not_run;
@@ -55,6 +57,12 @@
 void add(tally& to, const arrival& request, const completion& end);
 void merge(tally& to, const tally& other);
 
+// Returns how many requests fewer than the reference bucket the fleet admitted,
+// 0 if it admitted as many or more. Of a customer that exceeds its rate the
+// fleet admits other requests than the reference, so that refused_within_rate
+// alone overstates what the customer lost.
+std::uint64_t admission_shortfall(const tally& t);
+
 struct run_results
 {
     std::string scenario;
@@ -75,9 +83,9 @@
 // Returns empty results with the scenario's names.
 run_results make_results(const scenario& s);
 
-// Returns the customer that got a result for the smallest part of its requests
-// within the rate (of all requests, if none is); of equal ones, that with the
-// highest p99 latency. Empty if nothing was sent.
+// Returns the customer with the fewest results in proportion to its requests
+// within the rate (to all requests, if its rate is not known); of equal ones,
+// that with the highest p99 latency. Empty if nothing was sent.
 std::string worst_served(const run_results& results);
 
 nlohmann::json to_json(const run_results& results);
