Move the rolling replacement test to ports of its own

Another fleet on the same platform port published its configuration into the test's stand-in. start_platform now fails if the port is in use.

--- a/scripts/local-fleet.sh
+++ b/scripts/local-fleet.sh
@@ -59,6 +59,9 @@
     --port "$platform_port"
   wait_until 5 "start of the platform stand-in" \
     curl -sf "http://$platform/counts"
+  # Without this, a fleet that uses the same port would answer instead.
+  kill -0 "${pids[platform]}" 2>/dev/null ||
+    fail "port $platform_port is in use by another process"
 }
 
 # platform_fault NAME VALUE: switches a fault of the platform stand-in.
--- a/src/load/lookup_cache.cpp
+++ b/src/load/lookup_cache.cpp
@@ -46,9 +46,10 @@
         return;
     state.to_ask = entries;
     // Clients spread their look-ups over the entries.
-    std::ranges::rotate(state.to_ask, state.to_ask.begin() +
-                                          static_cast<std::ptrdiff_t>(
-                                              next_entry++ % entries.size()));
+    const auto first =
+        state.to_ask.begin() +
+        static_cast<std::ptrdiff_t>(next_entry++ % entries.size());
+    std::rotate(state.to_ask.begin(), first, state.to_ask.end());
     if (state.answer)
         state.to_ask.insert(state.to_ask.end(), state.answer->instances.begin(),
                             state.answer->instances.end());
--- a/test/process/rolling_replacement.sh
+++ b/test/process/rolling_replacement.sh
@@ -5,9 +5,9 @@
 # and no order may run twice.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-PLATFORM_PORT=23700
+PLATFORM_PORT=26700
 source scripts/local-fleet.sh
-copy_services examples/skuffedel 2000
+copy_services examples/skuffedel 9000
 services=$fleet_dir/services
 # A short time to live keeps the drains short.
 sed -i 's/^lookup_ttl_ms = .*/lookup_ttl_ms = 1000/' "$services/fleet.toml"
