--- a/apps/parsleyplank-load/main.cpp
+++ b/apps/parsleyplank-load/main.cpp
@@ -164,8 +164,9 @@
     TCLAP::ValueArg<std::string> run_id(
         "", "run-id", "first part of idempotency keys; default by time", false,
         "", "TEXT", cmd);
-    // The constraint takes a list that it could change.
-    std::vector<std::string> names(load::known_measures());
+    // The constraint's constructor takes a reference that is not const.
+    std::vector<std::string> names;
+    std::ranges::copy(load::known_measures(), std::back_inserter(names));
     TCLAP::ValuesConstraint<std::string> known(names);
     TCLAP::MultiArg<std::string> measure(
         "", "measure", "compare: exit 1 if this got worse; may be repeated",
