Give a new instance no weight in look-ups until it holds half an even share

Its share comes in donations, one per holder and second. The first were less than a slot, so that it still refused callers with no_capacity for two seconds.

--- a/src/entry/lookup_instances.cpp
+++ b/src/entry/lookup_instances.cpp
@@ -6,6 +6,24 @@
 namespace parsleyplank::entry
 {
 
+namespace
+{
+
+// A new instance is given its share in several donations, one per holder and
+// second; the first ones may come to less than a slot of an upstream.
+void keep_back_small_shares(std::vector<lookup::live_instance>& instances)
+{
+    const double even = double(ppm_total) / double(instances.size());
+    std::ranges::for_each(instances,
+                          [&](lookup::live_instance& it)
+                          {
+                              if (it.weight < even / 2)
+                                  it.weight = 0;
+                          });
+}
+
+} // namespace
+
 std::vector<lookup::live_instance>
 lookup_instances(lookup::live_instance self, incarnation life,
                  const membership::member_table& members,
@@ -29,6 +47,7 @@
                               live.weight = weight_of(info.id, info.life);
                               instances.push_back(std::move(live));
                           });
+    keep_back_small_shares(instances);
     return instances;
 }
 
--- a/src/entry/lookup_instances.hpp
+++ b/src/entry/lookup_instances.hpp
@@ -14,8 +14,8 @@
 
 // Returns this instance and the usable members, each with its share as weight.
 // A new instance is in contact before it is given a share; without one it has
-// no slots and would refuse what callers send to it, so its weight is 0 until
-// then.
+// no slots and would refuse what callers send to it. Its weight is 0 while it
+// holds less than half of an even share.
 std::vector<lookup::live_instance>
 lookup_instances(lookup::live_instance self, incarnation life,
                  const membership::member_table& members,
