Wait for even shares between replacements

The next drain began while the successor held a first, small donation, so that the only other instance of its region had less than a slot and refused callers with no_capacity.

--- a/test/process/rolling_replacement.sh
+++ b/test/process/rolling_replacement.sh
@@ -63,6 +63,15 @@
 timeout_ms = 15000
 TOML
 
+# True if all instances are fresh and hold at least half of an even share. While
+# a successor holds less, the instances of its region can't do without the next
+# one: callers would be refused with no_capacity.
+all_ready() {
+  all_fresh $instances && [ "$(ctl status |
+    sed -n 's/.* share \([0-9]*\).*/\1/p' |
+    awk -v least=$((500000 / instances)) '$1 >= least' | wc -l)" -eq $instances ]
+}
+
 start_platform
 for service in katalog ordre; do
   start_backends "$services/$service/service.toml"
@@ -74,7 +83,8 @@
   entries+=(--entry "127.0.0.1:$caller_port")
 done
 publish "$services" >/dev/null
-wait_until 30 "fresh instances" all_fresh $instances
+
+wait_until 60 "even shares" all_ready
 
 # Short runs follow each other until the replacement is done, so that its
 # duration does not matter.
@@ -107,8 +117,7 @@
   unlist_entry $n
   # shellcheck disable=SC2086
   start_entry $n 2 ${places[n]}
-  wait_until 60 "fresh instances after the start of entry-$n" \
-    all_fresh $instances
+  wait_until 60 "even shares after the start of entry-$n" all_ready
   echo "  ok: entry-$n replaced"
 done
 touch "$fleet_dir/replaced"
