Let load routes do without kept connections

libcurl sends a read again by itself when its kept connection breaks, so that reads which a killed instance cut off did not show in the rolling replacement test.

--- a/src/load/run.cpp
+++ b/src/load/run.cpp
@@ -309,7 +309,8 @@
     call.url = base_url(to) + route.path;
     call.timeout = route.timeout;
     call.body.assign(route.body_bytes, 'x');
-    call.may_resend = route.kind == execution::idempotent;
+    call.may_resend =
+        route.kind == execution::idempotent && route.keep_connections;
     if (!route.open)
         call.headers.push_back("X-Api-Key: " + s.customers[a.customer].api_key);
     if (route.kind == execution::at_most_once)
--- a/src/load/scenario.cpp
+++ b/src/load/scenario.cpp
@@ -184,6 +184,7 @@
     route.body_bytes = static_cast<std::size_t>(
         from.integer("body_bytes", "200", 0, most_body_bytes, 0));
     route.kind = read_execution(from);
+    route.keep_connections = from.flag("keep_connections", true);
     route.open = from.flag("open", false);
     route.repeat_probability =
         bounded(from, "repeat_probability", "0.05", 0, 1, 0);
--- a/src/load/scenario.hpp
+++ b/src/load/scenario.hpp
@@ -60,6 +60,10 @@
     double weight = 1;
     std::size_t body_bytes = 0;
     execution kind = execution::idempotent;
+    // Idempotent requests use kept connections. libcurl then sends a request
+    // again by itself if its connection breaks, which hides that it was cut
+    // off; without kept connections each such attempt is counted.
+    bool keep_connections = true;
     // Sent without an API key; not subject to the customer's rate.
     bool open = false;
     // Part of the at-most-once requests that are sent again with the same key
--- a/test/process/rolling_replacement.sh
+++ b/test/process/rolling_replacement.sh
@@ -52,6 +52,7 @@
 path = "/katalog/spring-40"
 weight = 3
 execution = "idempotent"
+keep_connections = false
 
 [[route]]
 id = "ordre"
@@ -76,6 +77,14 @@
 for service in katalog ordre; do
   start_backends "$services/$service/service.toml"
 done
+# Slow enough that each instance has requests in flight at any time: a stop that
+# cuts them off shows.
+while read -r port; do
+  curl -sf -X POST -d '' \
+    "http://127.0.0.1:$port/standin/switch?latency_ms=100" >/dev/null ||
+    fail "backend server $port can't be slowed down"
+done < <(sed -n 's/^ *{ id = .*port = \([0-9]*\),.*/\1/p' \
+  "$services/katalog/service.toml" "$services/ordre/service.toml")
 entries=()
 for ((n = 1; n <= instances; n++)); do
   # shellcheck disable=SC2086
