--- a/scripts/local-fleet.sh
+++ b/scripts/local-fleet.sh
@@ -4,9 +4,11 @@
 fleet_dir=${FLEET_DIR:-$(mktemp -d /tmp/parsleyplank-fleet.XXXXXX)}
 bin=${BUILD_DIR:-build}
 platform_address=127.0.0.1
-base_port=${BASE_PORT:-20800}
 platform_port=${PLATFORM_PORT:-20700}
 platform=$platform_address:$platform_port
+# Entry instances use the ports above this one, ten each, so that fleets with
+# different platform ports can run side by side.
+entry_base_port=${ENTRY_BASE_PORT:-$((platform_port + 100))}
 declare -A pids=()
 
 stop_all() {
@@ -58,6 +60,9 @@
     --port "$platform_port"
   wait_until 5 "start of the platform stand-in" \
     curl -sf "http://$platform/counts"
+  # Without this, a fleet that uses the same port would answer instead.
+  kill -0 "${pids[platform]}" 2>/dev/null ||
+    fail "port $platform_port is in use by another process"
 }
 
 # platform_fault NAME VALUE: switches a fault of the platform stand-in.
@@ -66,6 +71,22 @@
     fail "fault $1 can't be switched"
 }
 
+# copy_services FOLDER OFFSET: copies a configuration to $fleet_dir/services with
+# the ports of its backend servers moved by the offset, for fleets side by side.
+copy_services() {
+  local file
+  cp -r "$1" "$fleet_dir/services"
+  for file in "$fleet_dir"/services/*/service.toml; do
+    awk -v offset="$2" '
+      match($0, /port = [0-9]+/) {
+        n = substr($0, RSTART + 7, RLENGTH - 7) + offset
+        $0 = substr($0, 1, RSTART + 6) n substr($0, RSTART + RLENGTH)
+      }
+      { print }' "$file" >"$file.new"
+    mv "$file.new" "$file"
+  done
+}
+
 # start_backends FILE: starts a stand-in for each backend server of a service
 # file.
 start_backends() {
@@ -80,13 +101,13 @@
 
 # entry_ports NAME-OR-NUMBER: sets caller_port, admin_port and peer_port.
 entry_ports() {
-  caller_port=$((base_port + $1 * 10))
+  caller_port=$((entry_base_port + $1 * 10))
   admin_port=$((caller_port + 1))
   peer_port=$((caller_port + 2))
 }
 
-# list_entry NUMBER INCARNATION REGION DOMAIN: puts an instance into the
-# platform's list.
+# list_entry NUMBER INCARNATION REGION DOMAIN [LEAVING]: puts an instance into
+# the platform's list; LEAVING is true or false (default).
 list_entry() {
   entry_ports "$1"
   curl -sf -X PUT "http://$platform/v1/instances/entry-$1" -d "{
@@ -125,6 +146,10 @@
     "$fleet_dir/entry-$1.toml"
 }
 
+load() {
+  "$bin/apps/parsleyplank-load/parsleyplank-load" "$@"
+}
+
 ctl() {
   "$bin/apps/parsleyplank-ctl/parsleyplank-ctl" --platform "$platform" "$@"
 }
--- a/test/process/rollout.sh
+++ b/test/process/rollout.sh
@@ -3,7 +3,7 @@
 # and gets few requests, a good one is done within its duration.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-PLATFORM_PORT=22700 BASE_PORT=22800
+PLATFORM_PORT=22700
 source scripts/local-fleet.sh
 config=$fleet_dir/config
 mkdir "$config"
