--- a/src/store/http_instance_list.cpp
+++ b/src/store/http_instance_list.cpp
@@ -31,18 +31,6 @@
     return value.get<std::uint16_t>();
 }
 
-std::vector<listed_instance> parse_list(const std::string& body)
-{
-    const auto document = nlohmann::json::parse(body);
-    if (!document.is_array())
-        throw codec_error("the instance list is not a JSON array");
-    std::vector<listed_instance> result;
-    result.reserve(document.size());
-    std::ranges::transform(document, std::back_inserter(result),
-                           &parse_listed_instance);
-    return result;
-}
-
 } // namespace
 
 nlohmann::json to_json(const listed_instance& instance)
@@ -83,6 +71,25 @@
     }
 }
 
+std::vector<listed_instance> parse_instance_list(const std::string& body)
+{
+    try
+    {
+        const auto document = nlohmann::json::parse(body);
+        if (!document.is_array())
+            throw codec_error("the instance list is not a JSON array");
+        std::vector<listed_instance> result;
+        result.reserve(document.size());
+        std::ranges::transform(document, std::back_inserter(result),
+                               &parse_listed_instance);
+        return result;
+    }
+    catch (const nlohmann::json::exception& ec)
+    {
+        throw codec_error(std::string("the instance list: ") + ec.what());
+    }
+}
+
 http_instance_list::http_instance_list(http_settings settings)
     : http(std::move(settings))
 {
@@ -98,7 +105,7 @@
         if (response.status != 200)
             throw store_unavailable(where + "HTTP status " +
                                     std::to_string(response.status));
-        return parse_list(response.body);
+        return parse_instance_list(response.body);
     }
     catch (const transfer_error& ec)
     {
@@ -108,10 +115,6 @@
     {
         throw store_unavailable(where + ec.what());
     }
-    catch (const nlohmann::json::exception& ec)
-    {
-        throw store_unavailable(where + ec.what());
-    }
 }
 
 } // namespace parsleyplank::store
--- a/src/store/http_instance_list.hpp
+++ b/src/store/http_instance_list.hpp
@@ -20,6 +20,10 @@
 // type.
 listed_instance parse_listed_instance(const nlohmann::json& object);
 
+// Returns the instances of a JSON array. Throws codec_error if it does not
+// parse or one of them is wrong.
+std::vector<listed_instance> parse_instance_list(const std::string& body);
+
 // Not safe for use by several threads.
 class http_instance_list final : public instance_list
 {
