--- a/scripts/local-fleet.sh
+++ b/scripts/local-fleet.sh
@@ -5,6 +5,7 @@
 bin=${BUILD_DIR:-build}
 platform_address=127.0.0.1
 platform_port=${PLATFORM_PORT:-20700}
+entry_base_port=${ENTRY_BASE_PORT:-20800}
 platform=$platform_address:$platform_port
 declare -A pids=()
 
@@ -76,9 +77,20 @@
   done < <(sed -n 's/^ *{ id = "\([^"]*\)".*port = \([0-9]*\), version = "\([^"]*\)".*/\1 \2 \3/p' "$1")
 }
 
+# copy_example FOLDER OFFSET: copies an example into the fleet's folder with the
+# ports of its backend servers moved, so that fleets can run side by side.
+copy_example() {
+  services=$fleet_dir/services
+  cp -r "$1" "$services"
+  local file
+  for file in "$services"/*/service.toml; do
+    perl -pi -e "s/port = (\\d+)/'port = ' . (\$1 + $2)/e" "$file"
+  done
+}
+
 # entry_ports NAME-OR-NUMBER: sets caller_port, admin_port and peer_port.
 entry_ports() {
-  caller_port=$((20800 + $1 * 10))
+  caller_port=$((entry_base_port + $1 * 10))
   admin_port=$((caller_port + 1))
   peer_port=$((caller_port + 2))
 }
@@ -180,6 +192,22 @@
   echo "$sum"
 }
 
+# verdict NUMBER: prints whether an instance may act on its state.
+verdict() {
+  entry_ports "$1"
+  curl -s --max-time 5 "http://127.0.0.1:$admin_port/status" |
+    sed -n 's/.*"verdict": *"\([a-z_]*\)".*/\1/p'
+}
+
+# has_verdict VERDICT NUMBER...: true if all instances have it.
+has_verdict() {
+  local wanted=$1 n
+  shift
+  for n in "$@"; do
+    [ "$(verdict "$n")" = "$wanted" ] || return 1
+  done
+}
+
 # all_fresh COUNT: true if this many instances hold a confirmed configuration
 # and shares.
 all_fresh() {
--- a/test/fuzz/text_targets.cpp
+++ b/test/fuzz/text_targets.cpp
@@ -9,6 +9,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 
 namespace parsleyplank::fuzz
 {
@@ -37,41 +40,12 @@
 level = "INFO"
 )";
 
-constexpr auto sample_fleet = R"([fleet]
-name = "sample"
-store_region = "north"
-default_region = "north"
-[[region]]
-id = "north"
-failure_domains = ["north-1"]
-[[customer]]
-id = "a"
-rate = 10.5
-burst = 20
-[[key]]
-customer = "a"
-sha256 = "0000000000000000000000000000000000000000000000000000000000000000"
-[[client_block]]
-prefix = "10.0.0.0/16"
-region = "north"
-)";
-
-constexpr auto sample_service = R"([service]
-id = "shop"
-[[upstream]]
-id = "desk"
-slots_per_server = 4
-servers = [
-  { id = "d1", region = "north", failure_domain = "north-1", address = "127.0.0.1", port = 9000, version = "1" },
-]
-[[route]]
-id = "read"
-path = "/read"
-methods = ["GET"]
-upstream = "desk"
-execution = "idempotent"
-[rollout]
-)";
+// Returns an example, so that the samples can't become outdated.
+std::string example(const std::string& name)
+{
+    std::ifstream in(std::filesystem::path(PARSLEYPLANK_EXAMPLES_DIR) / name);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
 
 constexpr auto sample_request = "POST /ordre/7?x=1&y=%20 HTTP/1.1\r\n"
                                 "Host: 127.0.0.1:20810\r\n"
@@ -180,7 +154,8 @@
         nlohmann::json::array({store::to_json(listed), store::to_json(listed)});
     return {{"settings", {sample_settings}, parse_settings},
             {"fleet and service files",
-             {sample_fleet, sample_service},
+             {example("skuffedel/fleet.toml"),
+              example("skuffedel/ordre/service.toml")},
              parse_files},
             {"look-up query",
              {"client=10.1.2.3&customer=a", "client=%3a%3A1", "client=::1"},
