--- a/src/entry/quota_agent.cpp
+++ b/src/entry/quota_agent.cpp
@@ -30,25 +30,6 @@
     return kinds.at(body.index());
 }
 
-quota::message_body unpack_body(const peer::envelope& message)
-{
-    const auto& bytes = message.body;
-    const auto& name = message.from.value;
-    switch (message.kind)
-    {
-    case peer::message_kind::demand:
-        return unpack_value<quota::demand>(bytes, name);
-    case peer::message_kind::loan_request:
-        return unpack_value<quota::loan_request>(bytes, name);
-    case peer::message_kind::loan_grant:
-        return unpack_value<quota::loan_grant>(bytes, name);
-    case peer::message_kind::loan_return:
-        return unpack_value<quota::loan_return>(bytes, name);
-    default:
-        throw codec_error(name + ": not a quota message");
-    }
-}
-
 void handle_output(quota_agent& agent, node_context& context,
                    const quota::quota_output& output)
 {
@@ -195,6 +176,25 @@
 
 } // namespace
 
+quota::message_body unpack_body(const peer::envelope& message)
+{
+    const auto& bytes = message.body;
+    const auto& name = message.from.value;
+    switch (message.kind)
+    {
+    case peer::message_kind::demand:
+        return unpack_value<quota::demand>(bytes, name);
+    case peer::message_kind::loan_request:
+        return unpack_value<quota::loan_request>(bytes, name);
+    case peer::message_kind::loan_grant:
+        return unpack_value<quota::loan_grant>(bytes, name);
+    case peer::message_kind::loan_return:
+        return unpack_value<quota::loan_return>(bytes, name);
+    default:
+        throw codec_error(name + ": not a quota message");
+    }
+}
+
 void configure(quota_agent& agent, node_context& context,
                const config::bundle& content)
 {
--- a/src/entry/quota_agent.hpp
+++ b/src/entry/quota_agent.hpp
@@ -42,6 +42,10 @@
 void tick(quota_agent& agent, node_context& context,
           const peer_contact& contact);
 
+// Returns the body of a quota message. Throws codec_error, which holds the
+// sender, if it is damaged or of another kind.
+quota::message_body unpack_body(const peer::envelope& message);
+
 // Takes over the share table of the feed.
 void take_table(quota_agent& agent, node_context& context,
                 const state_feed& feed);
--- a/test/fuzz/binary_targets.cpp
+++ b/test/fuzz/binary_targets.cpp
@@ -2,6 +2,7 @@
 #include <parsleyplank/claims/message.hpp>
 #include <parsleyplank/claims/segment.hpp>
 #include <parsleyplank/config/adoption.hpp>
+#include <parsleyplank/entry/quota_agent.hpp>
 #include <parsleyplank/entry/rollout_agent.hpp>
 #include <parsleyplank/entry/state_feed.hpp>
 #include <parsleyplank/quota/loan.hpp>
@@ -11,6 +12,9 @@
 
 #include <support/sample_bundle.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace parsleyplank::fuzz
 {
 
@@ -73,6 +77,72 @@
     return claims::encode_head(head);
 }
 
+void require(bool holds, const char* contract)
+{
+    if (!holds)
+        throw broken_contract(contract);
+}
+
+// An undefined state that is written to the store would make its whole bucket
+// unreadable.
+void decode_batch(std::string_view input)
+{
+    const auto batch = unpack_value<claims::claim_batch>(input, "peer");
+    const bool defined =
+        std::ranges::all_of(batch.finishes,
+                            [](const auto& it) {
+                                return it.state <= claims::claim_state::unknown;
+                            }) &&
+        std::ranges::all_of(
+            batch.replies, [](const auto& it)
+            { return it.outcome <= claims::claim_outcome::recorded; }) &&
+        std::ranges::all_of(
+            batch.states, [](const auto& it)
+            { return it.phase <= claims::attempt_phase::unknown_to_me; });
+    require(defined, "undefined state of a claim");
+}
+
+void decode_record(std::string_view input)
+{
+    const auto record = unpack_value<rollout::rollout_record>(input, "peer");
+    require(record.state <= rollout::phase::rolled_back,
+            "undefined state of a rollout");
+}
+
+bool is_amount(double value)
+{
+    return std::isfinite(value) && value >= 0;
+}
+
+// One NaN in a pool would stay there, and a pool without bound breaks the
+// customer's limit.
+void check_amounts(const quota::message_body& body)
+{
+    const auto sound = [](const auto& item)
+    {
+        return is_amount(item.rate) && is_amount(item.burst) &&
+               is_amount(item.level);
+    };
+    if (const auto* grant = std::get_if<quota::loan_grant>(&body))
+        require(std::ranges::all_of(grant->loans, sound),
+                "terms of a loan that are no amounts");
+    if (const auto* given = std::get_if<quota::loan_return>(&body))
+        require(std::ranges::all_of(given->items, sound),
+                "terms of a return that are no amounts");
+}
+
+target quota_target(std::string name, peer::message_kind kind,
+                    const quota::message_body& sample)
+{
+    return codec_target(std::move(name), {quota::pack_body(sample)},
+                        [kind](std::string_view input)
+                        {
+                            check_amounts(entry::unpack_body(
+                                {instance_id("peer"), incarnation(1), 1, kind,
+                                 std::string(input)}));
+                        });
+}
+
 // Input: the number of a section, then the bytes of its root part. The digest
 // is made to match, since a damaged part under its old digest is refused
 // before it is decoded.
@@ -136,19 +206,21 @@
     {
         quota::unpack_share_table(input);
     };
-    return {
-        codec_target("share table", {quota::pack_share_table(table)},
-                     decode_table),
-        body_target("demand", quota::demand{4, {{1, 20, 30}}}),
-        body_target("loan_request", quota::loan_request{4, {{1, 20}}}),
-        body_target("loan_grant", quota::loan_grant{incarnation(3),
-                                                    true,
-                                                    4,
-                                                    2'000,
-                                                    {{1, 2, 3.5F, 4.5F, 5.5F}},
-                                                    {{1, {2, 3}}}}),
-        body_target("loan_return",
-                    quota::loan_return{incarnation(3), {{2, 1, 1, 1}}})};
+    return {codec_target("share table", {quota::pack_share_table(table)},
+                         decode_table),
+            quota_target("demand", peer::message_kind::demand,
+                         quota::demand{4, {{1, 20, 30}}}),
+            quota_target("loan_request", peer::message_kind::loan_request,
+                         quota::loan_request{4, {{1, 20}}}),
+            quota_target("loan_grant", peer::message_kind::loan_grant,
+                         quota::loan_grant{incarnation(3),
+                                           true,
+                                           4,
+                                           2'000,
+                                           {{1, 2, 3.5F, 4.5F, 5.5F}},
+                                           {{1, {2, 3}}}}),
+            quota_target("loan_return", peer::message_kind::loan_return,
+                         quota::loan_return{incarnation(3), {{2, 1, 1, 1}}})};
 }
 
 std::vector<target> rollout_targets()
@@ -157,14 +229,7 @@
                               version_id("2"), epoch(4)};
     const rollout::rollout_record record{
         what, rollout::phase::running, share_ppm{10'000}, 3, 5, false, "none"};
-    return {codec_target("rollout_record", {pack_value(record)},
-                         [](std::string_view input)
-                         {
-                             const auto r =
-                                 unpack_value<rollout::rollout_record>(input,
-                                                                       "peer");
-                             rollout::to_string(r.state);
-                         }),
+    return {codec_target("rollout_record", {pack_value(record)}, decode_record),
             body_target("rollout_brake", entry::rollout_brake{what, "slow"}),
             body_target("rollout_report",
                         entry::rollout_report{what, {{route_id("read"), {}}}})};
@@ -196,7 +261,7 @@
                      decode_envelope),
         body_target("ping", entry::ping{4}),
         body_target("pong", entry::pong{4, epoch(1), epoch(2), 30, true}),
-        body_target("claim_batch", sample_batch()),
+        codec_target("claim_batch", {pack_value(sample_batch())}, decode_batch),
         codec_target("claim head", {sample_head()},
                      [](std::string_view input)
                      { claims::decode_head(input, "claims/5/head"); }),
--- a/test/process/keys.sh
+++ b/test/process/keys.sh
@@ -64,7 +64,8 @@
 
 echo "== Open connection that goes on sending"
 entry_ports 2
-curl -s -o /dev/null --rate 10/s -w '%{http_code} %{num_connects}\n' \
+# Line buffering shows each response when it has arrived.
+stdbuf -oL curl -s -o /dev/null --rate 10/s -w '%{http_code} %{num_connects}\n' \
   -H 'Connection: keep-alive' -H 'X-Api-Key: demo-key-verksted-oslo' \
   "http://127.0.0.1:$caller_port/katalog/spring-[1-150]" >"$fleet_dir/codes" &
 sender=$!
