Refuse undefined states and amounts of peers, bound what parts allocate

A claim_finish with an undefined state would have been stored and made its bucket unreadable, NaN in a loan_return would have stayed in the lender's pool, and seven bytes of a configuration part allocated 30 GB. Found by test_fuzz.

--- a/src/claims/message.hpp
+++ b/src/claims/message.hpp
@@ -40,6 +40,11 @@
     unknown
 };
 
+constexpr int enum_size(claim_state /*kind*/)
+{
+    return static_cast<int>(claim_state::unknown) + 1;
+}
+
 // State of an attempt on its owner.
 enum class attempt_phase : std::uint8_t
 {
@@ -53,6 +58,11 @@
     unknown_to_me, // the owner has no record of this attempt
 };
 
+constexpr int enum_size(attempt_phase /*kind*/)
+{
+    return static_cast<int>(attempt_phase::unknown_to_me) + 1;
+}
+
 // What the writer answers to a claim_request or claim_finish.
 enum class claim_outcome : std::uint8_t
 {
@@ -66,6 +76,11 @@
     recorded,   // the claim_finish needs no repeat
 };
 
+constexpr int enum_size(claim_outcome /*kind*/)
+{
+    return static_cast<int>(claim_outcome::recorded) + 1;
+}
+
 // The response of the backend server as far as it is kept.
 struct kept_response
 {
@@ -165,8 +180,4 @@
 
 } // namespace parsleyplank::claims
 
-MSGPACK_ADD_ENUM(parsleyplank::claims::claim_state)
-MSGPACK_ADD_ENUM(parsleyplank::claims::attempt_phase)
-MSGPACK_ADD_ENUM(parsleyplank::claims::claim_outcome)
-
 #endif
--- a/src/claims/segment.cpp
+++ b/src/claims/segment.cpp
@@ -17,16 +17,6 @@
     return {buf.data(), buf.size()};
 }
 
-// An undefined state would otherwise be taken for none of the known ones.
-void check_states(const segment& seg, std::string_view key)
-{
-    const bool defined =
-        std::ranges::all_of(seg.entries, [](const claim_entry& it)
-                            { return it.state <= claim_state::unknown; });
-    if (!defined)
-        throw codec_error(std::string(key) + ": undefined claim state");
-}
-
 } // namespace
 
 std::string head_key(std::uint32_t bucket)
@@ -93,15 +83,12 @@
 
 bucket_head decode_head(std::string_view value, std::string_view key)
 {
-    auto head = unpack_value<bucket_head>(value, key);
-    check_states(head.current, key);
-    return head;
+    return unpack_value<bucket_head>(value, key);
 }
 
 segment decode_sealed(std::string_view value, std::string_view key)
 {
     auto seg = unpack_value<segment>(value, key);
-    check_states(seg, key);
     if (!seg.sealed)
         throw codec_error(std::string(key) + ": the segment is not sealed");
     return seg;
--- a/src/config/section_tree.cpp
+++ b/src/config/section_tree.cpp
@@ -1,5 +1,5 @@
 #include <parsleyplank/config/section_tree.hpp>
-#include <parsleyplank/core/error.hpp>
+#include <parsleyplank/core/codec.hpp>
 #include <parsleyplank/core/hash.hpp>
 
 #include <algorithm>
@@ -118,9 +118,9 @@
 void for_each_entry(const part_digest& digest, std::string_view bytes,
                     Function use)
 {
+    const auto handle = unpack_object(bytes, short_name(digest));
     try
     {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
         const msgpack::object& part = handle.get();
         if (part.type != msgpack::type::ARRAY || part.via.array.size != 2 ||
             part.via.array.ptr[1].type != msgpack::type::ARRAY)
@@ -128,10 +128,6 @@
         const auto& list = part.via.array.ptr[1].via.array;
         std::for_each(list.ptr, list.ptr + list.size, use);
     }
-    catch (const msgpack::unpack_error& ec)
-    {
-        throw codec_error(short_name(digest) + ": " + ec.what());
-    }
     catch (const msgpack::type_error& ec)
     {
         throw codec_error(short_name(digest) + ": " + ec.what());
--- a/src/core/codec.hpp
+++ b/src/core/codec.hpp
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace parsleyplank
 {
@@ -31,11 +32,10 @@
     return {buf.data(), buf.size()};
 }
 
-// Returns the value that the bytes hold. The name tells where the bytes came
-// from. Throws codec_error, which holds the name, if the bytes are not one
-// whole value of this type.
-template <typename Value>
-Value unpack_value(std::string_view bytes, std::string_view name)
+// Returns the one object that the bytes hold. The name tells where the bytes
+// came from. Throws codec_error, which holds the name, if they are damaged.
+inline msgpack::object_handle unpack_object(std::string_view bytes,
+                                            std::string_view name)
 {
     try
     {
@@ -45,24 +45,44 @@
         const msgpack::unpack_limit limit(bytes.size(), bytes.size(),
                                           bytes.size(), bytes.size(),
                                           bytes.size(), max_codec_depth);
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), n,
-                                            nullptr, nullptr, limit);
+        auto handle = msgpack::unpack(bytes.data(), bytes.size(), n, nullptr,
+                                      nullptr, limit);
         if (n != bytes.size())
             throw codec_error(std::string(name) + ": " +
                               std::to_string(bytes.size() - n) +
                               " bytes after the value");
-        return handle.get().as<Value>();
+        return handle;
     }
     catch (const msgpack::unpack_error& ec)
     {
         throw codec_error(std::string(name) + ": " + ec.what());
     }
+}
+
+// Returns the value that the bytes hold. Throws as unpack_object does, and if
+// the bytes are not a value of this type.
+template <typename Value>
+Value unpack_value(std::string_view bytes, std::string_view name)
+{
+    const auto handle = unpack_object(bytes, name);
+    try
+    {
+        return handle.get().template as<Value>();
+    }
     catch (const msgpack::type_error& ec)
     {
         throw codec_error(std::string(name) + ": " + ec.what());
     }
 }
 
+// An enumeration with a function enum_size in its namespace, which returns the
+// number of its values. Only these decode.
+template <typename Value>
+concept coded_enum = std::is_enum_v<Value> && requires(Value v)
+{
+    enum_size(v);
+};
+
 } // namespace parsleyplank
 
 namespace msgpack
@@ -136,6 +156,29 @@
     {
     };
 
+    template <parsleyplank::coded_enum Value>
+    struct convert<Value>
+    {
+        const msgpack::object& operator()(const msgpack::object& o,
+                                          Value& v) const
+        {
+            const auto n = o.as<int>();
+            if (n < 0 || n >= enum_size(v))
+                throw msgpack::type_error();
+            v = static_cast<Value>(n);
+            return o;
+        }
+    };
+    template <parsleyplank::coded_enum Value>
+    struct pack<Value>
+    {
+        template <typename Stream>
+        packer<Stream>& operator()(packer<Stream>& o, const Value& v) const
+        {
+            return o.pack(static_cast<int>(v));
+        }
+    };
+
     template <>
     struct convert<parsleyplank::hash128_value>
     {
--- a/src/entry/quota_agent.cpp
+++ b/src/entry/quota_agent.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace parsleyplank::entry
@@ -174,6 +175,26 @@
     return next_reclaim(agent, context, contact, feed);
 }
 
+bool is_amount(float value)
+{
+    return std::isfinite(value) && value >= 0;
+}
+
+// Throws codec_error unless the terms are amounts: one NaN would stay in a
+// pool, and a pool without bound breaks the customer's limit.
+template <typename Item>
+void check_terms(const std::vector<Item>& items, const std::string& name)
+{
+    const bool sound = std::ranges::all_of(items,
+                                           [](const Item& it) {
+                                               return is_amount(it.rate) &&
+                                                      is_amount(it.burst) &&
+                                                      is_amount(it.level);
+                                           });
+    if (!sound)
+        throw codec_error(name + ": the terms of a loan are not amounts");
+}
+
 } // namespace
 
 quota::message_body unpack_body(const peer::envelope& message)
@@ -187,9 +208,17 @@
     case peer::message_kind::loan_request:
         return unpack_value<quota::loan_request>(bytes, name);
     case peer::message_kind::loan_grant:
-        return unpack_value<quota::loan_grant>(bytes, name);
+    {
+        auto grant = unpack_value<quota::loan_grant>(bytes, name);
+        check_terms(grant.loans, name);
+        return grant;
+    }
     case peer::message_kind::loan_return:
-        return unpack_value<quota::loan_return>(bytes, name);
+    {
+        auto given = unpack_value<quota::loan_return>(bytes, name);
+        check_terms(given.items, name);
+        return given;
+    }
     default:
         throw codec_error(name + ": not a quota message");
     }
--- a/src/quota/customer_pool.cpp
+++ b/src/quota/customer_pool.cpp
@@ -163,8 +163,9 @@
     item.loan = number;
     item.rate = round_down(std::min(terms.rate, home.rate).value);
     item.burst = round_down(std::min(terms.burst, home.burst).value);
-    item.level = std::min(item.burst,
-                          round_down(std::min(terms.level, home.level).value));
+    item.level = std::max(
+        0.0F, std::min(item.burst,
+                       round_down(std::min(terms.level, home.level).value)));
     if (item.burst <= 0 || (item.rate <= 0 && item.level <= 0))
         return std::nullopt;
     pool.lent.push_back(
--- a/src/rollout/rollout.hpp
+++ b/src/rollout/rollout.hpp
@@ -25,6 +25,11 @@
     rolled_back
 };
 
+constexpr int enum_size(phase /*kind*/)
+{
+    return static_cast<int>(phase::rolled_back) + 1;
+}
+
 // Returns "running", "done" or "rolled_back".
 std::string_view to_string(phase p);
 
@@ -114,6 +119,4 @@
 
 } // namespace parsleyplank::rollout
 
-MSGPACK_ADD_ENUM(parsleyplank::rollout::phase)
-
 #endif
