Count a configuration as held only once its tables are built

A bundle from which no tables could be built raised the held epoch, so that the instance was confirmed while the keys of the earlier one still worked.

--- a/src/entry/state_feed.cpp
+++ b/src/entry/state_feed.cpp
@@ -22,13 +22,14 @@
 
 void adopt_if_complete(state_feed& feed)
 {
-    const auto before = feed.config.held_manifest;
     if (!config::try_adopt(feed.config))
         return;
-    const bool reuse = feed.tables && config::same_client_blocks(
-                                          before, feed.config.held_manifest);
+    const bool reuse =
+        feed.tables &&
+        config::same_client_blocks(feed.tables_of, feed.config.held_manifest);
     feed.tables =
         build_tables(feed.config, reuse ? feed.tables->blocks : nullptr);
+    feed.tables_of = feed.config.held_manifest;
     LOG4CPLUS_INFO(feed_log(), "Configuration epoch "
                                    << held_epoch(feed.config).value
                                    << " is in force.");
@@ -119,7 +120,9 @@
 
 freshness::known_epochs held_epochs(const state_feed& feed)
 {
-    return {held_epoch(feed.config), feed.shares.number};
+    // A bundle from which no tables could be built is not in force.
+    return {feed.tables ? feed.tables->content->epoch : epoch(0),
+            feed.shares.number};
 }
 
 std::optional<freshness::known_epochs>
--- a/src/entry/state_feed.hpp
+++ b/src/entry/state_feed.hpp
@@ -49,6 +49,9 @@
     // the parts.
     config::adoption config{.with_client_blocks = false};
     std::shared_ptr<const config_tables> tables;
+    // Manifest that the tables were built from; older than config.held_manifest
+    // if that one's tables can't be built.
+    config::manifest tables_of;
     quota::share_table shares;
     // Revision of the share table, for this instance's own writes; unset while
     // it is known from a peer only.
