--- a/test/process/keys.sh
+++ b/test/process/keys.sh
@@ -61,6 +61,7 @@
 start_entry 3 1 trondheim trondheim-a
 publish "$services" >/dev/null
 wait_until 60 "fresh instances" all_fresh 3
+wait_until 60 "confirmed states" has_verdict confirmed 1 2 3
 
 echo "== Open connection that goes on sending"
 entry_ports 2
@@ -97,6 +98,7 @@
 ! grep -q 200 "$fleet_dir/early" || fail "a waiting request took the key"
 echo "  ok: the early request got $(cat "$fleet_dir/early")"
 wait_until 60 "fresh instances" all_fresh 3
+wait_until 60 "confirmed states" has_verdict confirmed 1 2 3
 
 echo "== Silent watch"
 platform_fault silent_watch 1
@@ -109,6 +111,7 @@
 
 echo "== Stale reads: instances can't confirm, and refuse"
 wait_until 60 "fresh instances" all_fresh 3
+wait_until 60 "confirmed states" has_verdict confirmed 1 2 3
 works 1 demo-key-tromso-marine || fail "read before the withdrawal: $status"
 platform_fault stale_reads 1
 withdraw demo-key-tromso-marine
@@ -122,5 +125,6 @@
   never_works_again $n demo-key-tromso-marine
 done
 wait_until 60 "fresh instances" all_fresh 3
+wait_until 60 "confirmed states" has_verdict confirmed 1 2 3
 works 1 demo-key-kristiansand-bil || fail "another key: $status $reason"
 echo "  ok: other keys work"
--- a/test/process/outage.sh
+++ b/test/process/outage.sh
@@ -26,13 +26,14 @@
 start_entry 3 1 trondheim trondheim-a
 publish "$services" >/dev/null
 wait_until 60 "fresh instances" all_fresh 3
+wait_until 60 "confirmed states" has_verdict confirmed 1 2 3
 
 echo "== Store down"
 platform_fault down 1
 wait_until 60 "attested outage" has_verdict outage_attested 1 2 3
 for n in 1 2 3; do
   read_at $n
-  expect "keyed read at entry-$n" "$status $outcome" "200 result"
+  expect "keyed read at entry-$n" "$status $outcome $reason" "200 result "
   order $n "down-$n"
   expect "order at entry-$n" "$status $outcome" "503 not-run"
   expect "executions" \
