Serve without a gap when an outage follows the last confirmation

Cause: the quota learned how long it is fresh only with its tick; between the end of the last confirmation and the next tick (up to 200 ms) requests were refused with stale_state although the outage was attested (seen in test/process/outage.sh at entry-1; status said outage_attested, the decision stopped at the rate). Ruled out: the attestation itself, whose verdict held. The quota is told before each admission now, and a designated instance repeats its first failed round soon. Before: outage.sh failed 3 of 3; after: passed 3 of 3, with the stricter check that an instance started during the outage serves (slots are lent now).

Look-ups name a region whose instances hold no share yet after the others.

--- a/src/entry/request_flow.cpp
+++ b/src/entry/request_flow.cpp
@@ -54,6 +54,18 @@
     note(context, r, "claim", "asked");
 }
 
+// The ticks of the quota are 200 ms apart. When an attested outage follows on
+// the last confirmation, requests in between must not find the quota stale.
+void refresh_quota(request_flow& flow, node_context& context)
+{
+    const auto until =
+        freshness::fresh_until(flow.contact.fresh, context.loop.now());
+    if (!until)
+        return;
+    quota::set_fresh_until(flow.quota.state, *until);
+    flow.upstreams.slots.fresh_until = *until;
+}
+
 // Handles an admission; returns false if the request goes on waiting.
 bool apply_admission(request_flow& flow, node_context& context,
                      std::uint64_t number, const quota::admission& admission)
@@ -90,6 +102,7 @@
         return;
     }
     const auto customer = r.routed.customer->id;
+    refresh_quota(flow, context);
     const auto admission =
         quota::admit(flow.quota.state, customer, context.loop.now());
     if (apply_admission(flow, context, number, admission))
@@ -129,6 +142,7 @@
 {
     // In order of arrival, and only those that wait now: a request that is
     // admitted may make others wait.
+    refresh_quota(flow, context);
     auto numbers = std::exchange(flow.waiting[customer], {});
     while (!numbers.empty())
     {
--- a/src/freshness/freshness.cpp
+++ b/src/freshness/freshness.cpp
@@ -113,8 +113,12 @@
 {
     if (s.round_in_flight)
         return false;
-    if (s.round_started_at &&
-        now - *s.round_started_at < s.bounds.round_interval)
+    // One failure may be a lost packet. A designated instance finds out soon,
+    // so that an outage is attested before the last confirmation is too old.
+    const auto interval = designated && s.failed_rounds == 1
+                              ? s.bounds.round_interval / 4
+                              : s.bounds.round_interval;
+    if (s.round_started_at && now - *s.round_started_at < interval)
         return false;
     const auto age = confirmation_age(s, now);
     return designated || !age || *age > s.bounds.bound / 2;
--- a/src/lookup/instance_rank.cpp
+++ b/src/lookup/instance_rank.cpp
@@ -113,6 +113,23 @@
                   [](candidate* v) { ++v->rounded; });
 }
 
+// Returns the regions in order, those without any weighted instance last: the
+// instances of a region that has just been replaced may hold no share yet.
+std::vector<region_id> usable_first(const regional_instances& instances,
+                                    std::vector<region_id> regions)
+{
+    std::ranges::stable_partition(
+        regions,
+        [&](const region_id& region)
+        {
+            const auto it = instances.find(region);
+            return it != instances.end() &&
+                   std::ranges::any_of(it->second, [](const live_instance& v)
+                                       { return v.weight > 0; });
+        });
+    return regions;
+}
+
 } // namespace
 
 regional_instances group_by_region(std::span<const live_instance> instances)
@@ -132,7 +149,7 @@
 {
     std::vector<ranked_instance> ranked;
     std::ranges::for_each(
-        request.regions,
+        usable_first(instances, request.regions),
         [&](const region_id& region)
         {
             const auto it = instances.find(region);
--- a/src/lookup/instance_rank.hpp
+++ b/src/lookup/instance_rank.hpp
@@ -62,9 +62,9 @@
 };
 
 // Returns up to request.limit instances that are not leaving: those of the
-// first region that has any, whose weights sum to 1,000, then those of the
-// other regions in order with weight 0. Within a region by falling weight.
-// Empty if there is none.
+// first region that has any with a weight, whose weights sum to 1,000, then
+// those of the other regions in order with weight 0. Within a region by falling
+// weight. Empty if there is none.
 std::vector<ranked_instance> rank_instances(const regional_instances& instances,
                                             const rank_request& request);
 
--- a/test/correctness/lookup_response.cpp
+++ b/test/correctness/lookup_response.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(own_region_gets_all_weight_and_fallbacks_follow);
     CPPUNIT_TEST(leaving_instances_are_excluded);
     CPPUNIT_TEST(region_without_instances_is_served_from_elsewhere);
+    CPPUNIT_TEST(region_whose_instances_have_no_weight_yet_comes_last);
     CPPUNIT_TEST(holders_of_a_customers_share_are_preferred);
     CPPUNIT_TEST(weights_are_rounded_to_a_thousand);
     CPPUNIT_TEST(callers_spread_over_a_large_region);
@@ -119,6 +120,18 @@
         CPPUNIT_ASSERT(look_up("client=10.0.3.4").instances.empty());
     }
 
+    // Instances that replace all others of a region hold no share at first and
+    // refuse what they get.
+    void region_whose_instances_have_no_weight_yet_comes_last()
+    {
+        instances[0].weight = 0;
+        instances[1].weight = 0;
+        const auto response = look_up("client=10.0.3.4");
+        CPPUNIT_ASSERT(response.instances.at(0).id == instance_id("s1"));
+        CPPUNIT_ASSERT_EQUAL(1'000U, response.instances[0].weight);
+        CPPUNIT_ASSERT_EQUAL(0U, response.instances.at(1).weight);
+    }
+
     void holders_of_a_customers_share_are_preferred()
     {
         instances[0].customer_shares[customer_id("a")] = {100'000};
--- a/test/process/outage.sh
+++ b/test/process/outage.sh
@@ -44,10 +44,9 @@
 start_entry 4 1 bergen bergen-b
 wait_until 60 "attested outage at entry-4" has_verdict outage_attested 4
 read_at 4
-case "$status $outcome" in
-"200 result" | "503 not-run") echo "  ok: keyed read at entry-4: $status $reason" ;;
-*) fail "keyed read at entry-4: $status $outcome" ;;
-esac
+expect "keyed read at entry-4" "$status $outcome" "200 result"
+call 4 GET /aapningstider/bergen
+expect "open route at entry-4" "$status $outcome" "200 result"
 call 4 GET /katalog/spring-40 -H 'X-Api-Key: no-such-key'
 expect "unknown key at entry-4" "$status $reason" "401 unknown_key"
 
