--- /dev/null
+++ b/src/ctl/instance_commands.hpp
@@ -0,0 +1,26 @@
+#ifndef PARSLEYPLANK_CTL_INSTANCE_COMMANDS_HPP
+#define PARSLEYPLANK_CTL_INSTANCE_COMMANDS_HPP
+
+// Commands that talk to the admin ports of instances.
+
+#include <parsleyplank/ctl/options.hpp>
+
+#include <string>
+
+namespace parsleyplank::ctl
+{
+
+// Prints the state of every listed instance. Returns exit_unconfirmed if one
+// does not answer.
+int show_status(const options& o);
+
+// Prints the steps of a recent request's decision. Throws error if it is not
+// known any more.
+int explain(const options& o, const std::string& request);
+
+// Starts the graceful shutdown of an instance.
+int drain(const options& o, const std::string& instance);
+
+} // namespace parsleyplank::ctl
+
+#endif
