--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -73,7 +73,7 @@
         config, time, loop, *round_jobs, *store_jobs, *peers, counters,
         snapshot, std::mt19937_64(hash64(config.id.value, config.life.value))});
     backends = std::make_unique<dataplane::backend_client>(
-        dataplane::client_options{});
+        dataplane::client_options{config.connections_per_upstream});
     flow = std::make_unique<request_flow>(request_flow{
         contact, quota, claims, upstreams, rollouts, *backends, decisions});
     connect_parts();
--- a/src/entry/settings.cpp
+++ b/src/entry/settings.cpp
@@ -138,6 +138,7 @@
     in.number("caller_threads", s.caller_threads, 1, false);
     in.number("max_body_memory_bytes", s.max_body_memory_bytes, 1, false);
     in.number("decision_log_size", s.decision_log_size, 1, false);
+    in.number("connections_per_upstream", s.connections_per_upstream, 1, false);
     in.reject_unknown();
 }
 
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -44,6 +44,9 @@
     int caller_threads = 2;
     std::uint64_t max_body_memory_bytes = 200'000'000;
     std::size_t decision_log_size = 10'000;
+    // Connections of this instance to one upstream: the budget of the upstream
+    // (about 330) divided by ten instances.
+    std::size_t connections_per_upstream = 32;
 
     // [logging]
     std::string log_level = "INFO";
--- a/src/lookup/instance_rank.cpp
+++ b/src/lookup/instance_rank.cpp
@@ -118,15 +118,15 @@
 std::vector<region_id> usable_first(const regional_instances& instances,
                                     std::vector<region_id> regions)
 {
-    std::ranges::stable_partition(
-        regions,
-        [&](const region_id& region)
-        {
-            const auto it = instances.find(region);
-            return it != instances.end() &&
-                   std::ranges::any_of(it->second, [](const live_instance& v)
-                                       { return v.weight > 0; });
-        });
+    std::stable_partition(regions.begin(), regions.end(),
+                          [&](const region_id& region)
+                          {
+                              const auto it = instances.find(region);
+                              return it != instances.end() &&
+                                     std::ranges::any_of(
+                                         it->second, [](const live_instance& v)
+                                         { return v.weight > 0; });
+                          });
     return regions;
 }
 
