Refuse new requests for one more step before the control loop stops

A request that arrived between the last check of a drain and the end of the loop was left without a decision and got 500 with outcome unknown.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -27,6 +27,8 @@
 // Loans of slots, which last 15 s, have to end before the share can be handed
 // over.
 constexpr milliseconds finish_limit{20'000};
+// Longest wait for requests that came just before new ones were refused.
+constexpr milliseconds closing_limit{5'000};
 
 store::http_settings http_settings_for(const settings& s, const endpoint& to)
 {
@@ -352,11 +354,13 @@
 
 void node::step_drain()
 {
-    const auto now = loop.now();
-    if (phase == drain_phase::waiting_for_caches && now >= phase_ends)
+    const bool time_over = loop.now() >= phase_ends;
+    if (phase == drain_phase::waiting_for_caches && time_over)
         enter_finishing();
-    else if (phase == drain_phase::finishing &&
-             (drained() || now >= phase_ends))
+    else if (phase == drain_phase::finishing && (drained() || time_over))
+        enter_closing();
+    else if (phase == drain_phase::closing &&
+             (flow->active.empty() || time_over))
     {
         LOG4CPLUS_INFO(node_log(), "Drained with " << flow->active.size()
                                                    << " requests left.");
@@ -364,6 +368,15 @@
     }
 }
 
+// A request that was posted before refusing was set is decided on before the
+// next step, so that none is left in a loop that has stopped.
+void node::enter_closing()
+{
+    phase = drain_phase::closing;
+    phase_ends = loop.now() + closing_limit;
+    refusing = true;
+}
+
 void node::enter_finishing()
 {
     phase = drain_phase::finishing;
@@ -398,6 +411,8 @@
                         std::to_string(config.life.value) + "-" +
                         std::to_string(next_request++));
     auto routed = route_request(current.get(), std::move(in), out, id);
+    if (refusing)
+        routed.refusal = refusal_reason::draining;
     if (routed.refusal)
     {
         counters.count_refusal(*routed.refusal);
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -40,7 +40,8 @@
     {
         serving,
         waiting_for_caches,
-        finishing
+        finishing,
+        closing
     };
 
     void connect_parts();
@@ -54,6 +55,7 @@
 
     void step_drain();
     void enter_finishing();
+    void enter_closing();
     bool drained() const;
 
     void handle_caller(dataplane::inbound_request in,
@@ -68,6 +70,8 @@
     event_loop loop;
     std::atomic<std::uint64_t> next_request{1};
     std::atomic<bool> stopping{false};
+    // Set at the end of a drain, before the control loop stops.
+    std::atomic<bool> refusing{false};
 
     // Destroyed in reverse order: threads that post to the loop end first.
     confirmation_rounds rounds;
