Remove what stands twice and what nothing reads

copy_example was a second copy_services, which the load script and the rolling test use already; the process tests call the one that is left. request_phase was written at each step and read nowhere; find_upstream and find_region had no caller. Behaviour is the same.

--- a/scripts/local-fleet.sh
+++ b/scripts/local-fleet.sh
@@ -74,10 +74,12 @@
 
 # copy_services FOLDER OFFSET: copies a configuration to $fleet_dir/services with
 # the ports of its backend servers moved by the offset, for fleets side by side.
+# Sets services to the copy.
 copy_services() {
   local file
-  cp -r "$1" "$fleet_dir/services"
-  for file in "$fleet_dir"/services/*/service.toml; do
+  services=$fleet_dir/services
+  cp -r "$1" "$services"
+  for file in "$services"/*/service.toml; do
     awk -v offset="$2" '
       match($0, /port = [0-9]+/) {
         n = substr($0, RSTART + 7, RLENGTH - 7) + offset
@@ -100,17 +102,6 @@
   done < <(sed -n 's/^ *{ id = "\([^"]*\)".*port = \([0-9]*\), version = "\([^"]*\)".*/\1 \2 \3/p' "$1")
 }
 
-# copy_example FOLDER OFFSET: copies an example into the fleet's folder with the
-# ports of its backend servers moved, so that fleets can run side by side.
-copy_example() {
-  services=$fleet_dir/services
-  cp -r "$1" "$services"
-  local file
-  for file in "$services"/*/service.toml; do
-    perl -pi -e "s/port = (\\d+)/'port = ' . (\$1 + $2)/e" "$file"
-  done
-}
-
 # entry_ports NAME-OR-NUMBER: sets caller_port, admin_port and peer_port.
 entry_ports() {
   caller_port=$((entry_base_port + $1 * 10))
--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -179,6 +179,7 @@
                     {
                         quota.slots_donatable = donatable(upstreams.slots);
                         maintain_shares(quota, *context, contact, feed);
+                        // Debits the slots of a donation that was just begun.
                         refresh_members();
                         step_weights(upstreams, *context);
                         tick(rollouts, *context, contact);
--- a/src/entry/request_dispatch.cpp
+++ b/src/entry/request_dispatch.cpp
@@ -118,7 +118,6 @@
 void dispatch(request_flow& flow, node_context& context, std::uint64_t number)
 {
     auto& r = flow.active.at(number);
-    r.phase = request_phase::dispatched;
     ++r.tries;
     note(context, r, "dispatch",
          r.place->server.id.value + " in " + r.place->region.value +
@@ -183,7 +182,6 @@
 {
     const auto now = context.loop.now();
     auto& queue = flow.upstreams.upstreams.at(r.routed.route->upstream).queue;
-    r.phase = request_phase::queued;
     note(context, r, "queue", std::string(to_string(reason)));
     static const customer_id anonymous("");
     const auto* customer = r.routed.customer;
--- a/src/entry/request_flow.cpp
+++ b/src/entry/request_flow.cpp
@@ -42,7 +42,6 @@
     const auto content = hash64(
         *r.routed.body, hash64(r.routed.in.method + " " + r.routed.in.path +
                                "?" + r.routed.in.query));
-    r.phase = request_phase::claiming;
     r.attempt = begin(flow.claims, context,
                       claims::key_hash(owner, route.id, *key), content);
     if (!r.attempt)
--- a/src/entry/request_flow.hpp
+++ b/src/entry/request_flow.hpp
@@ -41,19 +41,10 @@
     std::string api_key;
 };
 
-enum class request_phase
-{
-    waiting_for_tokens,
-    claiming,
-    queued,
-    dispatched
-};
-
 struct active_request
 {
     std::uint64_t number = 0;
     routed_request routed;
-    request_phase phase = request_phase::waiting_for_tokens;
     time_point deadline;
     // The rate admission must not be used after this time.
     time_point admitted_until;
--- a/src/entry/snapshot.cpp
+++ b/src/entry/snapshot.cpp
@@ -20,14 +20,6 @@
            std::ranges::find(r.methods, method) != r.methods.end();
 }
 
-template <typename Items, typename Id>
-auto* find_by_id(const Items& items, const Id& id)
-{
-    const auto it =
-        std::ranges::find_if(items, [&](const auto& i) { return i.id == id; });
-    return it == items.end() ? nullptr : &*it;
-}
-
 } // namespace
 
 std::shared_ptr<const config_tables>
@@ -64,19 +56,9 @@
 const config::customer* find_customer(const config::bundle& content,
                                       const customer_id& id)
 {
-    return find_by_id(content.customers, id);
-}
-
-const config::upstream* find_upstream(const config::bundle& content,
-                                      const upstream_id& id)
-{
-    return find_by_id(content.upstreams, id);
-}
-
-const config::region* find_region(const config::bundle& content,
-                                  const region_id& id)
-{
-    return find_by_id(content.regions, id);
+    const auto it =
+        std::ranges::find(content.customers, id, &config::customer::id);
+    return it == content.customers.end() ? nullptr : &*it;
 }
 
 } // namespace parsleyplank::entry
--- a/src/entry/snapshot.hpp
+++ b/src/entry/snapshot.hpp
@@ -44,13 +44,9 @@
 const config::route* find_route(const config::bundle& content,
                                 std::string_view method, std::string_view path);
 
-// Return the named item, or nullptr.
+// Returns the named customer, or nullptr.
 const config::customer* find_customer(const config::bundle& content,
                                       const customer_id& id);
-const config::upstream* find_upstream(const config::bundle& content,
-                                      const upstream_id& id);
-const config::region* find_region(const config::bundle& content,
-                                  const region_id& id);
 
 } // namespace parsleyplank::entry
 
--- a/test/process/keys.sh
+++ b/test/process/keys.sh
@@ -7,7 +7,7 @@
 PLATFORM_PORT=24700
 ENTRY_BASE_PORT=24800
 source scripts/local-fleet.sh
-copy_example examples/skuffedel 3000
+copy_services examples/skuffedel 3000
 
 # read_with NUMBER KEY
 read_with() {
--- a/test/process/outage.sh
+++ b/test/process/outage.sh
@@ -7,7 +7,7 @@
 PLATFORM_PORT=24700
 ENTRY_BASE_PORT=24800
 source scripts/local-fleet.sh
-copy_example examples/skuffedel 3000
+copy_services examples/skuffedel 3000
 
 read_at() {
   call "$1" GET /katalog/spring-40 -H 'X-Api-Key: demo-key-verksted-oslo'
