--- /dev/null
+++ b/apps/parsleyplank-edge/main.cpp
@@ -0,0 +1,105 @@
+// parsleyplank-edge: an instance on the users' platform. Serves callers, the
+// directory and its own health check. Exits 0 after a graceful shutdown
+// (SIGTERM, SIGINT), 2 if its arguments or settings are wrong, 1 after any
+// other failure. SIGHUP has the settings file read again.
+
+#include <parsleyplank/core/error.hpp>
+#include <parsleyplank/core/log.hpp>
+#include <parsleyplank/edge/control_plane.hpp>
+#include <platform/adapter.hpp>
+#include <platform/platform_store.hpp>
+
+#include <log4cplus/loggingmacros.h>
+#include <tclap/CmdLine.h>
+
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+using namespace parsleyplank;
+
+namespace
+{
+
+// Silence on a connection to the store after which it counts as broken.
+constexpr milliseconds store_silence{3'000};
+constexpr milliseconds store_call_timeout{1'500};
+
+std::unique_ptr<store::lease_store> open_store(const edge::settings& config)
+{
+    store::http_settings where;
+    where.address = config.store.address;
+    where.port = config.store.port;
+    where.call_timeout = store_call_timeout;
+    where.silence_timeout = store_silence;
+    return std::make_unique<platform::platform_store>(where);
+}
+
+// Reports what has changed; what can be changed only at a start stays.
+void reload(const std::string& file, const edge::settings& running)
+{
+    const auto log = part_logger("settings");
+    try
+    {
+        const auto next = edge::read_settings(file);
+        set_log_level(next.log_level);
+        LOG4CPLUS_INFO(log, "event=reload file="
+                                << file << " same_addresses="
+                                << (next.callers == running.callers &&
+                                    next.store == running.store));
+    }
+    catch (const config_error& ec)
+    {
+        LOG4CPLUS_ERROR(log, "event=reload_failed detail=\"" << ec.what()
+                                                             << '"');
+    }
+}
+
+void run_instance(const std::string& file, const edge::settings& config)
+{
+    const auto adapter = platform::make_adapter();
+    telemetry::metrics counters;
+    edge::traffic_plane traffic(config, adapter, counters);
+    edge::control_plane control(
+        config, adapter, [&] { return open_store(config); }, traffic, {});
+    control.on_reload = [&] { reload(file, config); };
+    control.run();
+    // The threads that wait for the store may block for the length of a watch,
+    // longer than the platform lets a process take to end.
+    stop_logging();
+    std::_Exit(EXIT_SUCCESS);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        TCLAP::CmdLine cmd("Instance of the parsleyplank traffic steering "
+                           "system on the users' platform",
+                           ' ', "0.2");
+        TCLAP::UnlabeledValueArg<std::string> file(
+            "settings", "TOML file with the settings of this instance", true,
+            "", "FILE", cmd);
+        TCLAP::SwitchArg check("", "check",
+                               "only check the settings file, then exit", cmd);
+        cmd.parse(argc, argv);
+        const auto config = edge::read_settings(file.getValue());
+        if (check.getValue())
+            return 0;
+        start_bounded_logging(config.log_level, config.log_lines_per_s);
+        run_instance(file.getValue(), config);
+        return 0;
+    }
+    catch (const config_error& ec)
+    {
+        std::cerr << "parsleyplank-edge: " << ec.what() << '\n';
+        return 2;
+    }
+    catch (const std::exception& ec)
+    {
+        std::cerr << "parsleyplank-edge: " << ec.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/core/bounded_appender.cpp
@@ -0,0 +1,113 @@
+#include <parsleyplank/core/bounded_appender.hpp>
+
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <sstream>
+#include <utility>
+
+namespace parsleyplank
+{
+
+namespace
+{
+
+constexpr std::size_t most_buffered_bytes = 256'000;
+// A line is written at the latest after this time.
+constexpr std::chrono::milliseconds write_interval{200};
+
+} // namespace
+
+bounded_appender::bounded_appender(int to, std::int64_t rate)
+    : descriptor(to), lines_per_s(static_cast<double>(rate)),
+      allowance(static_cast<double>(rate)),
+      refilled(std::chrono::steady_clock::now()), writer([this] { run(); })
+{
+}
+
+bounded_appender::~bounded_appender()
+{
+    destructorImpl();
+}
+
+void bounded_appender::close()
+{
+    {
+        const std::lock_guard lock(guard);
+        stopping = true;
+    }
+    wake.notify_one();
+    if (writer.joinable())
+        writer.join();
+    closed = true;
+}
+
+bool bounded_appender::admit()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> span = now - refilled;
+    refilled = now;
+    allowance = std::min(lines_per_s, allowance + span.count() * lines_per_s);
+    if (allowance < 1 || buffer.size() > most_buffered_bytes)
+    {
+        ++dropped;
+        return false;
+    }
+    allowance -= 1;
+    return true;
+}
+
+void bounded_appender::append(const log4cplus::spi::InternalLoggingEvent& event)
+{
+    const std::lock_guard lock(guard);
+    if (stopping || !admit())
+        return;
+    std::ostringstream line;
+    layout->formatAndAppend(line, event);
+    const bool first = buffer.empty();
+    buffer += line.str();
+    if (first)
+        wake.notify_one();
+}
+
+std::string bounded_appender::take()
+{
+    auto text = std::exchange(buffer, {});
+    if (dropped > 0)
+        text += "event=log_lines_dropped count=" +
+                std::to_string(std::exchange(dropped, 0)) + "\n";
+    return text;
+}
+
+void bounded_appender::write_all(const std::string& text) const
+{
+    std::size_t done = 0;
+    while (done < text.size())
+    {
+        const auto n =
+            ::write(descriptor, text.data() + done, text.size() - done);
+        if (n < 0 && errno != EINTR)
+            return; // Nowhere is left to report it.
+        done += n > 0 ? static_cast<std::size_t>(n) : 0;
+    }
+}
+
+void bounded_appender::run()
+{
+    std::unique_lock lock(guard);
+    while (!stopping)
+    {
+        wake.wait(lock, [this] { return stopping || !buffer.empty(); });
+        // Gathers the lines of one interval into one write.
+        wake.wait_for(lock, write_interval, [this] { return stopping; });
+        const auto text = take();
+        lock.unlock();
+        write_all(text);
+        lock.lock();
+    }
+    write_all(take());
+}
+
+} // namespace parsleyplank
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,9 +1,11 @@
+#include <parsleyplank/core/bounded_appender.hpp>
 #include <parsleyplank/core/error.hpp>
 #include <parsleyplank/core/log.hpp>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
+#include <unistd.h>
 #include <memory>
 
 namespace parsleyplank
@@ -21,14 +23,13 @@
     return parsed;
 }
 
-} // namespace
-
-void start_logging(const std::string& level)
+// Adds the appender that make returns to the root logger.
+template <typename Make>
+void start_with(const std::string& level, Make make)
 {
     static const log4cplus::Initializer initializer;
     const auto threshold = parse_level(level);
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(make());
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         "%D{%Y-%m-%d %H:%M:%S.%q} %-5p [%c] %m%n"));
     auto root = log4cplus::Logger::getRoot();
@@ -36,6 +37,29 @@
     root.setLogLevel(threshold);
 }
 
+} // namespace
+
+void start_logging(const std::string& level)
+{
+    start_with(level, [] { return new log4cplus::ConsoleAppender(true, true); });
+}
+
+void start_bounded_logging(const std::string& level, std::int64_t lines_per_s)
+{
+    start_with(level, [&]
+               { return new bounded_appender(STDOUT_FILENO, lines_per_s); });
+}
+
+void set_log_level(const std::string& level)
+{
+    log4cplus::Logger::getRoot().setLogLevel(parse_level(level));
+}
+
+void stop_logging()
+{
+    log4cplus::Logger::getRoot().closeNestedAppenders();
+}
+
 log4cplus::Logger part_logger(const std::string& part)
 {
     return log4cplus::Logger::getInstance(part);
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -7,6 +7,7 @@
 
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <cstdint>
 #include <string>
 
 namespace parsleyplank
@@ -17,6 +18,18 @@
 // before the first logger is used.
 void start_logging(const std::string& level);
 
+// Sends log lines of at least this level to standard output without ever
+// blocking the caller; lines beyond the rate are counted and dropped. Throws
+// config_error if the level has another name. Call once instead of
+// start_logging.
+void start_bounded_logging(const std::string& level, std::int64_t lines_per_s);
+
+// Changes the level. Throws config_error if it has another name.
+void set_log_level(const std::string& level);
+
+// Writes what is buffered and ends logging.
+void stop_logging();
+
 // Returns the logger of a part, e.g. part_logger("quota").
 log4cplus::Logger part_logger(const std::string& part);
 
--- /dev/null
+++ b/src/edge/control_plane.cpp
@@ -0,0 +1,631 @@
+#include <parsleyplank/core/log.hpp>
+#include <parsleyplank/core/rendezvous.hpp>
+#include <parsleyplank/edge/control_plane.hpp>
+
+#include <log4cplus/loggingmacros.h>
+
+#include <algorithm>
+#include <csignal>
+#include <iterator>
+#include <ranges>
+
+namespace parsleyplank::edge
+{
+
+namespace
+{
+
+using udp = proxy::asio::ip::udp;
+
+// Keys of the instances themselves.
+constexpr std::string_view member_prefix = "steer/members/";
+constexpr std::string_view record_prefix = "steer/rollouts/";
+// As many servers gone at once are more likely lapsed than stopped.
+constexpr std::size_t many_removals = 3;
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::int64_t wall_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+// Returns what follows the prefix, or nothing if the key has another one.
+std::optional<std::string> after_prefix(const std::string& key,
+                                        std::string_view prefix)
+{
+    if (!key.starts_with(prefix))
+        return std::nullopt;
+    return key.substr(prefix.size());
+}
+
+member_record describe_self(const settings& config)
+{
+    return {config.id,
+            static_cast<std::uint64_t>(wall_ms()),
+            config.callers.address,
+            config.callers.port,
+            config.peer_port,
+            config.domain,
+            config.region};
+}
+
+milliseconds part_of(milliseconds whole, double part)
+{
+    return milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(whole.count()) * part));
+}
+
+} // namespace
+
+control_plane::control_plane(const settings& chosen, const adapter& adapted,
+                             const store_factory& make_store,
+                             traffic_plane& plane, control_options with)
+    : config(chosen), platform(adapted), traffic(plane), options(with),
+      log(part_logger("control")), io(1), signals(io, SIGTERM, SIGINT, SIGHUP),
+      tick_timer(io),
+      peers(io, udp::endpoint(proxy::asio::ip::make_address(config.address),
+                              config.peer_port)),
+      self(describe_self(config)), lease(std::make_shared<store::lease_id>())
+{
+    fleet.self = config.id;
+    const auto post = [this](auto call)
+    { proxy::asio::post(io, std::move(call)); };
+    writer = std::make_unique<store_writer>(
+        make_store(), [this, post](const std::string& problem)
+        { post([this, problem] { store_lost(problem); }); });
+    feed = std::make_unique<store_feed>(
+        make_store(), platform.layout.watched_prefix, options.feed,
+        feed_handlers{
+            [this, post](store::list_result all)
+            { post([this, all = std::move(all)] { take_listing(all); }); },
+            [this, post](store::list_result changes)
+            {
+                post([this, changes = std::move(changes)]
+                     { take_changes(changes); });
+            },
+            [this, post](const std::string& problem)
+            { post([this, problem] { store_lost(problem); }); }});
+}
+
+void control_plane::run()
+{
+    LOG4CPLUS_INFO(log, "event=start instance="
+                            << config.id.value << " domain="
+                            << config.domain.value << " region="
+                            << config.region.value << " callers="
+                            << config.callers.address << ":"
+                            << config.callers.port);
+    wait_for_signals();
+    receive_digests();
+    keep_registered();
+    tick();
+    io.run();
+    LOG4CPLUS_INFO(log, "event=stop instance=" << config.id.value);
+}
+
+void control_plane::store_heard()
+{
+    heard_at = now();
+    if (!store_away)
+        return;
+    store_away = false;
+    lost_at = now();
+    LOG4CPLUS_INFO(log, "event=store_regained");
+}
+
+void control_plane::store_lost(const std::string& problem)
+{
+    if (!store_away)
+        LOG4CPLUS_WARN(log, "event=store_lost detail=\"" << problem << '"');
+    store_away = true;
+    lost_at = now();
+}
+
+// Registrations may have lapsed while the store was away or could not be
+// reached by the servers.
+time_point control_plane::removal_time(std::size_t removed) const
+{
+    const auto at = now();
+    const bool doubtful = removed >= many_removals || store_away ||
+                          (lost_at != time_point{} &&
+                           at - lost_at < options.outage_memory);
+    return doubtful ? at + options.removal_hold : at;
+}
+
+void control_plane::take_listing(const store::list_result& all)
+{
+    store_heard();
+    std::set<std::string> present;
+    for (const auto& it : all.entries)
+    {
+        present.insert(it.key);
+        take_entry(it);
+    }
+    std::vector<backend_server_id> missing;
+    for (const auto& id : servers.servers | std::views::keys)
+        if (!present.contains(platform.layout.server_prefix + id.value))
+            missing.push_back(id);
+    const auto when = removal_time(missing.size());
+    for (const auto& id : missing)
+        steering::remove_server(servers, id, when, now());
+    for (const auto& id : fleet.peers | std::views::keys)
+        if (!present.contains(std::string(member_prefix) + id.value))
+            remove_member(fleet, id);
+    const auto gone = [&](const failure_domain_id& id)
+    {
+        return !present.contains(platform.layout.evacuation_prefix + id.value);
+    };
+    const auto ended = [&]
+    {
+        std::vector<failure_domain_id> list;
+        std::ranges::copy_if(evacuated, std::back_inserter(list), gone);
+        return list;
+    }();
+    for (const auto& id : ended)
+        take_removal(platform.layout.evacuation_prefix + id.value);
+    for (const auto& id : rollouts | std::views::keys)
+        if (!present.contains(platform.layout.rollout_prefix + id.value))
+            remove_order(rollouts, id);
+    LOG4CPLUS_INFO(log, "event=listed keys=" << all.entries.size()
+                                             << " revision="
+                                             << all.store_revision.value);
+    publish();
+}
+
+void control_plane::take_changes(const store::list_result& changes)
+{
+    store_heard();
+    const auto is_removed_server = [&](const store::entry& it)
+    {
+        return it.key_revision == revision(0) &&
+               it.key.starts_with(platform.layout.server_prefix);
+    };
+    const auto removed = static_cast<std::size_t>(
+        std::ranges::count_if(changes.entries, is_removed_server));
+    const auto when = removal_time(removed);
+    for (const auto& it : changes.entries)
+    {
+        if (is_removed_server(it))
+        {
+            const backend_server_id id(
+                *after_prefix(it.key, platform.layout.server_prefix));
+            LOG4CPLUS_INFO(log, "event=server_removed server="
+                                    << id.value
+                                    << " held=" << (when > now()));
+            steering::remove_server(servers, id, when, now());
+        }
+        else if (it.key_revision == revision(0))
+            take_removal(it.key);
+        else
+            take_entry(it);
+    }
+    if (!changes.entries.empty())
+        publish();
+}
+
+void control_plane::take_entry(const store::entry& it)
+{
+    const auto& layout = platform.layout;
+    try
+    {
+        if (it.key == layout.configuration_key)
+            take_configuration(it);
+        else if (it.key.starts_with(layout.server_prefix))
+            take_server(it);
+        else if (it.key.starts_with(layout.rollout_prefix))
+        {
+            const auto order =
+                platform.decode_rollout(it.value, it.key_revision);
+            LOG4CPLUS_INFO(log, "event=rollout_ordered service="
+                                    << order.service.value << " target="
+                                    << order.target.value << " duration_ms="
+                                    << order.duration.count());
+            take_order(rollouts, order, now());
+        }
+        else if (const auto domain =
+                     after_prefix(it.key, layout.evacuation_prefix))
+        {
+            LOG4CPLUS_INFO(log, "event=evacuation_ordered domain=" << *domain);
+            evacuated.insert(failure_domain_id(*domain));
+        }
+        else if (it.key.starts_with(member_prefix))
+            put_member(fleet, unpack_value<member_record>(it.value, it.key),
+                       now());
+        else if (const auto service = after_prefix(it.key, record_prefix))
+        {
+            const auto record = unpack_value<rollout_record>(it.value, it.key);
+            LOG4CPLUS_INFO(log, "event=rollout_recorded service="
+                                    << *service << " target="
+                                    << record.target.value << " phase="
+                                    << to_string(record.phase));
+            take_record(rollouts, service_id(*service), record,
+                        it.key_revision);
+        }
+    }
+    catch (const error& ec)
+    {
+        LOG4CPLUS_WARN(log, "event=record_skipped key=" << it.key
+                                                        << " detail=\""
+                                                        << ec.what() << '"');
+    }
+}
+
+void control_plane::take_removal(const std::string& key)
+{
+    const auto& layout = platform.layout;
+    if (const auto domain = after_prefix(key, layout.evacuation_prefix))
+    {
+        LOG4CPLUS_INFO(log, "event=evacuation_ended domain=" << *domain);
+        evacuated.erase(failure_domain_id(*domain));
+        cold_domains[failure_domain_id(*domain)] = now();
+    }
+    else if (const auto service = after_prefix(key, layout.rollout_prefix))
+        remove_order(rollouts, service_id(*service));
+    else if (const auto id = after_prefix(key, member_prefix))
+        remove_member(fleet, instance_id(*id));
+}
+
+void control_plane::take_configuration(const store::entry& it)
+{
+    auto next = std::make_shared<const steering::traffic_config>(
+        platform.decode_configuration(it.value));
+    if (routing && next->version <= routing->config->version)
+    {
+        LOG4CPLUS_WARN(log, "event=configuration_ignored version="
+                                << next->version.value << " in_force="
+                                << routing->config->version.value);
+        return;
+    }
+    routing = std::make_shared<const steering::routing_table>(
+        steering::make_routing_table(next));
+    LOG4CPLUS_INFO(log, "event=configuration_adopted version="
+                            << next->version.value << " routes="
+                            << next->routes.size() << " customers="
+                            << next->customers.size());
+}
+
+void control_plane::take_server(const store::entry& it)
+{
+    const backend_server_id id(
+        it.key.substr(platform.layout.server_prefix.size()));
+    auto server =
+        platform.decode_server(id, it.value, config.regions, now());
+    const bool draining = server.draining;
+    const bool cold = server.cold_until > now();
+    if (steering::put_server(servers, std::move(server)))
+        LOG4CPLUS_INFO(log, "event=server_changed server="
+                                << id.value << " draining=" << draining
+                                << " cold=" << cold);
+}
+
+void control_plane::keep_registered()
+{
+    if (drain_began || now() - renewed < options.lease_renewal)
+        return;
+    renewed = now();
+    writer->submit(
+        [this, held = lease, record = self](store::lease_store& store)
+        {
+            const auto key = std::string(member_prefix) + record.id.value;
+            if (*held != store::lease_id(0) && store.renew_lease(*held))
+            {
+                proxy::asio::post(io, [this] { store_heard(); });
+                return;
+            }
+            *held = store::lease_id(0);
+            const auto fresh = store.grant_lease(options.lease_ttl);
+            const auto outcome =
+                store.commit({{}, {{key, pack_value(record), fresh}}, {}});
+            if (outcome == store::commit_outcome::applied)
+                *held = fresh;
+            proxy::asio::post(io, [this] { store_heard(); });
+        });
+}
+
+void control_plane::deregister()
+{
+    writer->submit(
+        [key = std::string(member_prefix) + self.id.value](
+            store::lease_store& store) { store.commit({{}, {}, {key}}); });
+}
+
+void control_plane::receive_digests()
+{
+    peers.async_receive_from(
+        proxy::asio::buffer(datagram), sender,
+        [this](const proxy::error_code& ec, std::size_t n)
+        {
+            // An error is that of an earlier datagram to a peer that is down.
+            if (!ec)
+                take_datagram(n);
+            receive_digests();
+        });
+}
+
+void control_plane::take_datagram(std::size_t n)
+{
+    try
+    {
+        const auto digest = unpack_value<member_digest>(
+            {datagram.data(), n}, sender.address().to_string());
+        const auto known = fleet.peers.find(digest.id);
+        const bool was_leaving =
+            known != fleet.peers.end() && known->second.digest.leaving;
+        if (!take_digest(fleet, digest, now()))
+            return;
+        for (const auto& it : digest.rollouts)
+            if (it.fault)
+                take_fault(rollouts, it.service, it.target, digest.id.value);
+        if (digest.leaving && !was_leaving)
+            publish_soon();
+    }
+    catch (const codec_error& ec)
+    {
+        LOG4CPLUS_WARN(log, "event=datagram_ignored detail=\"" << ec.what()
+                                                               << '"');
+    }
+}
+
+void control_plane::send_digests(const traffic_report& report)
+{
+    member_digest digest{self.id, self.started_ms, ++digest_number,
+                         drain_began.has_value(), {}, {}};
+    // A demand too small to matter for the division of a rate.
+    constexpr double least_demand = 0.02;
+    for (const auto& [id, demand] : report.demands)
+        if (demand >= least_demand)
+            digest.demands.push_back(
+                {customer_number(id), static_cast<float>(demand)});
+    for (const auto& [service, rollout] : rollouts)
+    {
+        if (!rollout.order)
+            continue;
+        const auto it = report.tallies.find({service, rollout.order->target});
+        if (it != report.tallies.end() || rollout.fault)
+            digest.rollouts.push_back(
+                {service, rollout.order->target,
+                 it == report.tallies.end() ? steering::rollout_tally()
+                                            : it->second,
+                 rollout.fault.has_value()});
+    }
+    const auto bytes = pack_value(digest);
+    for (const auto& peer : fleet.peers | std::views::values)
+    {
+        proxy::error_code ec;
+        const auto address =
+            proxy::asio::ip::make_address(peer.record.address, ec);
+        // A digest that can't be sent now is replaced by the next one.
+        if (!ec)
+            peers.send_to(proxy::asio::buffer(bytes),
+                          {address, peer.record.peer_port}, 0, ec);
+    }
+}
+
+void control_plane::tick()
+{
+    traffic.collect(
+        [this](traffic_report report)
+        {
+            proxy::asio::post(io, [this, report = std::move(report)]
+                              { step(report); });
+        });
+    const auto slowed = std::chrono::duration_cast<milliseconds>(
+        std::chrono::duration<double>(static_cast<double>(fleet.peers.size()) /
+                                      options.most_digests_per_s));
+    tick_timer.expires_after(std::max(options.digest_interval, slowed));
+    tick_timer.async_wait(
+        [this](const proxy::error_code& ec)
+        {
+            if (!ec)
+                tick();
+        });
+}
+
+tally_table control_plane::fleet_tallies(const traffic_report& report) const
+{
+    auto sum = report.tallies;
+    for (const auto& peer : fleet.peers | std::views::values)
+        for (const auto& it : peer.digest.rollouts)
+        {
+            auto& tally = sum[{it.service, it.target}];
+            tally = tally + it.tally;
+        }
+    return sum;
+}
+
+void control_plane::step(const traffic_report& report)
+{
+    last_report = report;
+    keep_registered();
+    forget_gone(fleet, options.fleet, now());
+    steering::settle_removals(servers, now());
+    std::vector<instance_id> ids{self.id};
+    for (const auto* peer : live_peers(fleet, options.fleet, now()))
+        ids.push_back(peer->record.id);
+    std::map<service_id, std::size_t> rank;
+    for (const auto& service : rollouts | std::views::keys)
+    {
+        const auto order = rendezvous_order(service.value, ids);
+        rank[service] = static_cast<std::size_t>(
+            std::ranges::find(order, self.id) - order.begin());
+    }
+    std::map<service_id, bool> had_fault;
+    for (const auto& [service, rollout] : rollouts)
+        had_fault[service] = rollout.fault.has_value();
+    const auto writes =
+        step_rollouts(rollouts, fleet_tallies(report), rank, options.rollouts,
+                      now(), wall_ms());
+    for (const auto& [service, rollout] : rollouts)
+        if (rollout.fault && !had_fault[service])
+            LOG4CPLUS_WARN(log, "event=rollout_braked service="
+                                    << service.value << " detail=\""
+                                    << *rollout.fault << '"');
+    std::ranges::for_each(writes, [this](const rollout_write& it)
+                          { write_rollout(it); });
+    send_digests(report);
+    publish();
+    if (drain_began)
+        check_drained(report);
+}
+
+void control_plane::write_rollout(const rollout_write& write)
+{
+    const auto key = std::string(record_prefix) + write.service.value;
+    store::transaction changes{
+        {{key, write.expected}},
+        {{key, pack_value(write.next), store::lease_id(0)},
+         {platform.layout.rollout_status_prefix + write.service.value,
+          platform.encode_rollout_status(write.order, write.next.phase),
+          store::lease_id(0)}},
+        {}};
+    LOG4CPLUS_INFO(log, "event=rollout_write service="
+                            << write.service.value << " target="
+                            << write.order.target.value << " phase="
+                            << to_string(write.next.phase));
+    writer->submit([changes = std::move(changes)](store::lease_store& store)
+                   { store.commit(changes); });
+}
+
+void control_plane::publish_soon()
+{
+    if (std::exchange(publish_pending, true))
+        return;
+    proxy::asio::post(io,
+                      [this]
+                      {
+                          publish_pending = false;
+                          publish();
+                      });
+}
+
+void control_plane::update_servers(steering_snapshot& next)
+{
+    std::map<service_id, std::set<version_id>> versions;
+    for (const auto& server : servers.servers | std::views::values)
+    {
+        versions[server->service].insert(server->version);
+        if (server->draining || evacuated.contains(server->domain))
+            continue;
+        auto it = server;
+        const auto returned = cold_domains.find(server->domain);
+        if (returned != cold_domains.end() && routing)
+        {
+            const auto service = routing->services.find(server->service);
+            const auto until =
+                service == routing->services.end()
+                    ? time_point{}
+                    : returned->second + service->second->warmup;
+            if (until > it->cold_until)
+            {
+                auto cold = *server;
+                cold.cold_until = until;
+                it = std::make_shared<const steering::backend_server>(
+                    std::move(cold));
+            }
+        }
+        next.servers[server->service].push_back(std::move(it));
+    }
+    for (const auto& [service, rollout] : rollouts)
+        next.versions[service] = policy_of(rollout, versions[service]);
+}
+
+void control_plane::update_shares(steering_snapshot& next) const
+{
+    if (!routing)
+        return;
+    for (const auto& customer : routing->config->customers)
+    {
+        if (customer.rate.value <= 0)
+            continue;
+        const auto number = customer_number(customer.id);
+        std::vector<steering::share_party> parties;
+        for (const auto& peer : fleet.peers | std::views::values)
+        {
+            const auto& demands = peer.digest.demands;
+            const auto it = std::ranges::find(demands, number,
+                                              &customer_demand::customer);
+            parties.push_back({it == demands.end() ? 0 : it->per_second,
+                               is_heard(peer, options.fleet, now())});
+        }
+        const auto own = last_report.demands.find(customer.id);
+        next.shares[customer.id] = steering::divide_rate(
+            customer.rate, customer.burst,
+            own == last_report.demands.end() ? 0 : own->second, parties);
+    }
+}
+
+void control_plane::publish()
+{
+    auto next = std::make_shared<steering_snapshot>();
+    next->routing = routing;
+    next->store_heard = heard_at;
+    next->draining = drain_began.has_value();
+    const auto add = [&](const member_record& it)
+    {
+        next->members.push_back({it.id, it.domain, it.region});
+        next->instances.push_back(
+            {it.id, {it.address, it.caller_port}, it.domain, it.region});
+    };
+    if (!drain_began)
+        add(self);
+    for (const auto* peer : live_peers(fleet, options.fleet, now()))
+        add(peer->record);
+    update_servers(*next);
+    update_shares(*next);
+    traffic.publish(std::move(next));
+}
+
+void control_plane::begin_drain()
+{
+    if (drain_began)
+        return;
+    LOG4CPLUS_INFO(log, "event=drain instance=" << config.id.value);
+    drain_began = now();
+    publish();
+    deregister();
+    send_digests(last_report);
+}
+
+void control_plane::check_drained(const traffic_report& report)
+{
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(now() - *drain_began);
+    const auto grace = config.bounds.grace;
+    if (accepting && age >= part_of(grace, options.accept_part))
+    {
+        accepting = false;
+        traffic.stop_accepting();
+        return;
+    }
+    if ((!accepting && report.open_exchanges == 0) ||
+        age >= part_of(grace, options.last_part))
+    {
+        LOG4CPLUS_INFO(log, "event=drained open_requests="
+                                << report.open_exchanges
+                                << " ms=" << age.count());
+        io.stop();
+    }
+}
+
+void control_plane::wait_for_signals()
+{
+    signals.async_wait(
+        [this](const proxy::error_code& ec, int number)
+        {
+            if (ec)
+                return;
+            if (number != SIGHUP)
+                begin_drain();
+            else if (on_reload)
+                on_reload();
+            wait_for_signals();
+        });
+}
+
+} // namespace parsleyplank::edge
--- /dev/null
+++ b/src/edge/control_plane.hpp
@@ -0,0 +1,137 @@
+#ifndef PARSLEYPLANK_EDGE_CONTROL_PLANE_HPP
+#define PARSLEYPLANK_EDGE_CONTROL_PLANE_HPP
+
+// The control thread of an edge process: follows the store, registers this
+// instance, exchanges digests with its peers, steps rollouts, and publishes
+// snapshots to the traffic thread.
+
+#include <parsleyplank/edge/fleet_view.hpp>
+#include <parsleyplank/edge/rollout_control.hpp>
+#include <parsleyplank/edge/store_feed.hpp>
+#include <parsleyplank/edge/store_writer.hpp>
+#include <parsleyplank/edge/traffic_plane.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace parsleyplank::edge
+{
+
+// Makes a connection to the store for one thread.
+using store_factory = std::function<std::unique_ptr<store::lease_store>()>;
+
+struct control_options
+{
+    fleet_options fleet;
+    rollout_control_options rollouts;
+    feed_options feed;
+    // Interval of digests while the fleet is small.
+    milliseconds digest_interval{500};
+    // Digests that an instance takes per second at most; a larger fleet sends
+    // less often.
+    double most_digests_per_s = 60;
+    // Life of this instance's registration without renewal.
+    milliseconds lease_ttl{4'000};
+    milliseconds lease_renewal{1'300};
+    // How long registrations of servers are missed before they count as gone,
+    // after the store was away.
+    milliseconds removal_hold{2'100};
+    // Time after an outage of the store in which removals are held.
+    milliseconds outage_memory{3'000};
+    // Parts of the grace time after which callers are no longer accepted and
+    // after which the process ends, finished or not.
+    double accept_part = 0.4;
+    double last_part = 0.93;
+};
+
+class control_plane
+{
+public:
+    control_plane(const settings& config, const adapter& platform,
+                  const store_factory& make_store, traffic_plane& traffic,
+                  control_options options);
+
+    // Runs until a stop signal has been carried out.
+    void run();
+
+    // Has the settings file read again.
+    std::function<void()> on_reload;
+
+private:
+    // Changes of the store.
+    void take_listing(const store::list_result& all);
+    void take_changes(const store::list_result& changes);
+    void take_entry(const store::entry& it);
+    void take_removal(const std::string& key);
+    void take_configuration(const store::entry& it);
+    void take_server(const store::entry& it);
+    void store_heard();
+    void store_lost(const std::string& problem);
+    time_point removal_time(std::size_t removed) const;
+
+    // Registration of this instance.
+    void keep_registered();
+    void deregister();
+
+    // Contact with peers.
+    void receive_digests();
+    void send_digests(const traffic_report& report);
+    void take_datagram(std::size_t n);
+
+    void tick();
+    void step(const traffic_report& report);
+    void write_rollout(const rollout_write& write);
+    tally_table fleet_tallies(const traffic_report& report) const;
+    void publish();
+    void publish_soon();
+    void update_shares(steering_snapshot& next) const;
+    void update_servers(steering_snapshot& next);
+
+    void begin_drain();
+    void check_drained(const traffic_report& report);
+    void wait_for_signals();
+
+    const settings& config;
+    const adapter& platform;
+    traffic_plane& traffic;
+    control_options options;
+    log4cplus::Logger log;
+    proxy::asio::io_context io;
+    proxy::asio::signal_set signals;
+    proxy::asio::steady_timer tick_timer;
+    proxy::asio::ip::udp::socket peers;
+    proxy::asio::ip::udp::endpoint sender;
+    std::array<char, 65'536> datagram{};
+
+    std::shared_ptr<const steering::routing_table> routing;
+    steering::server_registry servers;
+    std::set<failure_domain_id> evacuated;
+    // Servers of a failure domain that was evacuated come back cold.
+    std::map<failure_domain_id, time_point> cold_domains;
+    rollout_table rollouts;
+    fleet_view fleet;
+    traffic_report last_report;
+    member_record self;
+    std::uint64_t digest_number = 0;
+    bool publish_pending = false;
+
+    time_point heard_at{};
+    time_point lost_at{};
+    bool store_away = false;
+    // Owned by the writer's thread.
+    std::shared_ptr<store::lease_id> lease;
+    time_point renewed{};
+
+    std::optional<time_point> drain_began;
+    bool accepting = true;
+
+    // Last, so that their threads end before what they post to.
+    std::unique_ptr<store_writer> writer;
+    std::unique_ptr<store_feed> feed;
+};
+
+} // namespace parsleyplank::edge
+
+#endif
--- /dev/null
+++ b/src/edge/fleet_view.cpp
@@ -0,0 +1,88 @@
+#include <parsleyplank/core/hash.hpp>
+#include <parsleyplank/edge/fleet_view.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+namespace parsleyplank::edge
+{
+
+std::uint32_t customer_number(const customer_id& id)
+{
+    return static_cast<std::uint32_t>(hash64(id.value));
+}
+
+void put_member(fleet_view& fleet, const member_record& record, time_point now)
+{
+    if (record.id == fleet.self)
+        return;
+    auto& peer = fleet.peers[record.id];
+    if (peer.record.started_ms != record.started_ms)
+        peer.registered_at = now;
+    peer.record = record;
+    peer.registered = true;
+}
+
+void remove_member(fleet_view& fleet, const instance_id& id)
+{
+    const auto it = fleet.peers.find(id);
+    if (it != fleet.peers.end())
+        it->second.registered = false;
+}
+
+bool take_digest(fleet_view& fleet, const member_digest& digest, time_point now)
+{
+    const auto it = fleet.peers.find(digest.id);
+    if (it == fleet.peers.end())
+        return false;
+    auto& peer = it->second;
+    const auto order = [](const member_digest& d)
+    { return std::pair(d.started_ms, d.number); };
+    if (peer.heard_at != time_point{} && order(digest) <= order(peer.digest))
+        return false;
+    peer.digest = digest;
+    peer.heard_at = now;
+    return true;
+}
+
+bool is_heard(const peer_state& peer, const fleet_options& options,
+              time_point now)
+{
+    return peer.heard_at != time_point{} &&
+           now - peer.heard_at <= options.silence;
+}
+
+std::vector<const peer_state*> live_peers(const fleet_view& fleet,
+                                          const fleet_options& options,
+                                          time_point now)
+{
+    const bool cut_off =
+        std::ranges::none_of(fleet.peers | std::views::values,
+                             [&](const peer_state& it)
+                             { return is_heard(it, options, now); });
+    std::vector<const peer_state*> live;
+    for (const auto& it : fleet.peers | std::views::values)
+    {
+        const bool leaving = it.digest.leaving &&
+                             it.digest.started_ms >= it.record.started_ms;
+        const bool introduced = now - it.registered_at > options.introduction;
+        if (!leaving && (is_heard(it, options, now) ||
+                         (it.registered && (!introduced || cut_off))))
+            live.push_back(&it);
+    }
+    return live;
+}
+
+void forget_gone(fleet_view& fleet, const fleet_options& options,
+                 time_point now)
+{
+    std::erase_if(fleet.peers,
+                  [&](const auto& it)
+                  {
+                      return !it.second.registered &&
+                             !is_heard(it.second, options, now);
+                  });
+}
+
+} // namespace parsleyplank::edge
--- /dev/null
+++ b/src/edge/request_flow.cpp
@@ -0,0 +1,481 @@
+#include <parsleyplank/edge/request_flow.hpp>
+
+#include <log4cplus/loggingmacros.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+namespace parsleyplank::edge
+{
+
+namespace
+{
+
+using proxy::header_value;
+
+// Time that a response may still take after the deadline: a backend server that
+// stops at the deadline says so itself.
+constexpr milliseconds deadline_grace{120};
+// Unreachable servers that one request tries.
+constexpr std::size_t most_unreachable = 3;
+// Callers that are refused for want of room come back spread over this time.
+constexpr milliseconds return_spread{400};
+constexpr milliseconds return_after{250};
+
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_timeout = 504;
+constexpr unsigned first_server_error = 500;
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+milliseconds until(time_point when)
+{
+    return std::chrono::duration_cast<milliseconds>(when - now());
+}
+
+template <typename Number>
+std::optional<Number> parse_number(std::string_view text)
+{
+    Number n{};
+    const auto parsed =
+        std::from_chars(text.data(), text.data() + text.size(), n);
+    if (parsed.ec != std::errc())
+        return std::nullopt;
+    return n;
+}
+
+// Returns the load of a "running,waiting,slots" header.
+std::optional<steering::reported_load> parse_load(std::string_view text)
+{
+    std::array<double, 3> values{};
+    for (auto& value : values)
+    {
+        const auto n = parse_number<double>(text);
+        if (!n || !std::isfinite(*n) || *n < 0)
+            return std::nullopt;
+        value = *n;
+        const auto comma = text.find(',');
+        text = comma == std::string_view::npos ? std::string_view()
+                                               : text.substr(comma + 1);
+    }
+    return steering::reported_load{values[0], values[1], values[2]};
+}
+
+proxy::http::verb verb_of(const proxy::exchange& ex)
+{
+    return ex.request.method();
+}
+
+} // namespace
+
+request_flow::request_flow(flow_context& shared, proxy::exchange_ptr served)
+    : context(shared), ex(std::move(served)),
+      routing(shared.state.snapshot->routing),
+      id(header_value(ex->request, shared.platform.headers.request_id))
+{
+}
+
+bool request_flow::idempotent() const
+{
+    return route->repeat == steering::repeat_rule::idempotent;
+}
+
+milliseconds request_flow::remaining() const
+{
+    return until(deadline);
+}
+
+void request_flow::set_deadline()
+{
+    const auto given = parse_number<std::int64_t>(
+        header_value(ex->request, context.platform.headers.time_left_ms));
+    auto allowed = route->timeout;
+    if (given && *given >= 0)
+        allowed = std::min(allowed, milliseconds(*given));
+    deadline = ex->received + allowed;
+}
+
+bool request_flow::admit()
+{
+    if (!routing)
+    {
+        refuse(refusal_reason::stale_state, return_after);
+        return false;
+    }
+    const auto host = ex->request[proxy::http::field::host];
+    const auto target = ex->request.target();
+    route = steering::find_route(*routing, {host.data(), host.size()},
+                                 {target.data(), target.size()});
+    if (route == nullptr)
+    {
+        refuse(refusal_reason::no_route, milliseconds(0));
+        return false;
+    }
+    set_deadline();
+    return admit_customer();
+}
+
+bool request_flow::admit_customer()
+{
+    if (!route->open && routing->config->keys_required)
+    {
+        const std::string key(
+            header_value(ex->request, context.platform.headers.api_key));
+        customer = steering::find_customer(*routing, key);
+        if (customer == nullptr)
+        {
+            refuse(key.empty() ? refusal_reason::missing_key
+                               : refusal_reason::unknown_key,
+                   milliseconds(0));
+            return false;
+        }
+        if (!take_quota(context.state, *customer, now()))
+        {
+            refuse(refusal_reason::customer_rate,
+                   quota_wait(context.state, *customer));
+            return false;
+        }
+        token_taken = true;
+    }
+    service = next_service(context.state, *route);
+    return true;
+}
+
+std::optional<server_placement> request_flow::place()
+{
+    return place_request(
+        context.state,
+        {*route, customer, service,
+         std::string(
+             header_value(ex->request, context.platform.headers.affinity_key)),
+         tried},
+        now());
+}
+
+proxy::request_message
+request_flow::make_request(const server_placement& placed) const
+{
+    const auto& names = context.platform.headers;
+    proxy::request_message request = ex->request;
+    proxy::remove_connection_headers(request);
+    request.erase(names.api_key);
+    request.erase(names.customer);
+    request.set(names.time_left_ms,
+                std::to_string(std::max<std::int64_t>(1, remaining().count())));
+    request.set(names.expected_server, placed.server->id.value);
+    if (customer != nullptr)
+        request.set(names.customer, customer->id.value);
+    constexpr unsigned http_1_1 = 11;
+    request.version(http_1_1);
+    request.prepare_payload();
+    return request;
+}
+
+proxy::asio::awaitable<void> request_flow::run()
+{
+    const auto self = shared_from_this();
+    if (!admit())
+        co_return;
+    ex->on_cancel = [weak = weak_from_this()]
+    {
+        const auto flow = weak.lock();
+        if (flow && flow->call)
+            flow->call->cancel();
+    };
+    count_send(context.state, service);
+    auto step = next_step::try_again;
+    while (step == next_step::try_again && !ex->cancelled)
+    {
+        const auto placed = place();
+        if (!placed)
+        {
+            if (sends > 0 && !last_detail.empty())
+                refuse(refusal_reason::backend_shed, return_after);
+            else
+                refuse(refusal_reason::no_capacity, return_after);
+            co_return;
+        }
+        const auto predicted =
+            std::chrono::duration_cast<milliseconds>(now() - ex->received) +
+            placed->rank.expected;
+        const bool waits = placed->rank.queueing > milliseconds(0);
+        if ((waits && predicted > route->target_latency) ||
+            remaining() <= milliseconds(0))
+        {
+            refuse(refusal_reason::no_capacity, return_after);
+            co_return;
+        }
+        step = co_await attempt(*placed);
+    }
+    if (ex->cancelled)
+    {
+        end(0, "cancelled", "caller_gone");
+    }
+}
+
+proxy::asio::awaitable<request_flow::next_step>
+request_flow::attempt(const server_placement& placed)
+{
+    auto& state = context.state;
+    const auto number = state.next_call++;
+    const auto& server = placed.server;
+    tried.push_back(server->id);
+    auto request = make_request(placed);
+    state.loads[server->id].in_flight[number] = {now(), placed.rank.expected};
+    call = std::make_shared<proxy::upstream_call>(context.pool, server);
+    // Named, because GCC 12 destroys temporaries of a co_await twice.
+    proxy::correlation echo{context.platform.headers.request_id, id};
+    auto result = co_await call->run(std::move(request), idempotent(),
+                                     std::move(echo),
+                                     deadline + deadline_grace);
+    call.reset();
+    auto& load = state.loads[server->id];
+    load.in_flight.erase(number);
+    if (result.end != proxy::call_end::not_sent)
+        ++sends;
+    observe(placed, result);
+    if (ex->cancelled)
+        co_return next_step::done;
+    co_return conclude(placed, result);
+}
+
+void request_flow::observe(const server_placement& placed,
+                           const proxy::call_result& result)
+{
+    using proxy::call_end;
+    auto& state = context.state;
+    auto& load = state.loads[placed.server->id];
+    const auto at = now();
+    const auto& names = context.platform.headers;
+    if (result.connect_time)
+        load.round_trip = *result.connect_time;
+    auto verdict = steering::request_result::neutral;
+    bool failed = false;
+    if (result.end == call_end::answered)
+    {
+        load.heard_at = at;
+        const auto report =
+            parse_load(header_value(result.response, names.server_load));
+        if (report)
+            steering::record_report(load, *report, at);
+        const auto status = result.response.result_int();
+        const bool refused =
+            !header_value(result.response, names.not_executed).empty();
+        failed = status >= first_server_error && !refused;
+        const bool refused_idle =
+            refused && report && report->running < report->slots;
+        verdict = failed || refused_idle || status == status_misdirected
+                      ? steering::request_result::bad
+                  : refused ? steering::request_result::neutral
+                            : steering::request_result::good;
+        if (!failed && !refused && status != status_misdirected)
+        {
+            auto& times = times_of(state, *route, service);
+            const auto usual = times.warm_ms * (1 + placed.rank.queue_factor) *
+                               (placed.rank.warm ? 1 : times.cold_factor + 1);
+            const bool slow =
+                !placed.cold &&
+                static_cast<double>(result.latency.count()) / 1'000 >
+                    usual * state.options.slow_factor;
+            count_result(state, placed, false, slow);
+            if (!placed.cold)
+                steering::record_latency(times, load, placed.rank,
+                                         result.latency, state.options.ranking,
+                                         state.options.health, at);
+            steering::record_size(times,
+                                  ex->request.body().size() +
+                                      result.response.body().size(),
+                                  state.options.ranking);
+        }
+    }
+    else if (result.end != call_end::cancelled)
+    {
+        verdict = steering::request_result::bad;
+        failed = result.end != call_end::not_sent;
+    }
+    if (failed)
+        count_result(state, placed, true, false);
+    if (result.end == call_end::not_sent)
+    {
+        // It may come back as a new process, which is cold.
+        load.ejected_until = at + state.options.unreachable_pause;
+        const auto known = routing->services.find(service);
+        const auto warmup = known == routing->services.end()
+                                ? milliseconds(0)
+                                : known->second->warmup;
+        load.cold_until = load.ejected_until + warmup;
+        context.pool.drop(placed.server->id);
+    }
+    if (steering::record_result(load, verdict, state.options.health, at))
+        LOG4CPLUS_INFO(context.log,
+                       "server=" << placed.server->id.value
+                                 << " event=ejected failure_level="
+                                 << load.failure_level);
+}
+
+bool request_flow::may_repeat(retry_reason reason, bool reached_server)
+{
+    if (reached_server && sends >= route->max_attempts)
+        return false;
+    if (!reached_server && tried.size() >= most_unreachable)
+        return false;
+    const auto& times = times_of(context.state, *route, service);
+    if (static_cast<double>(remaining().count()) < times.warm_ms)
+        return false;
+    if (reached_server && !take_repeat(context.state, service))
+        return false;
+    context.counters.count_retry(reason);
+    return true;
+}
+
+request_flow::next_step request_flow::conclude(const server_placement& placed,
+                                               proxy::call_result& result)
+{
+    last_detail = result.detail;
+    if (result.end == proxy::call_end::answered)
+        return conclude_answer(placed, result);
+    return conclude_failure(placed, result);
+}
+
+request_flow::next_step
+request_flow::conclude_answer(const server_placement& /*placed*/,
+                              proxy::call_result& result)
+{
+    const auto status = result.response.result_int();
+    const bool refused =
+        !header_value(result.response, context.platform.headers.not_executed)
+             .empty();
+    if (refused || status == status_misdirected)
+    {
+        last_detail = "refused with " + std::to_string(status);
+        if (may_repeat(retry_reason::backend_shed, true))
+            return next_step::try_again;
+        refuse(refusal_reason::backend_shed, return_after);
+        return next_step::done;
+    }
+    if (status >= first_server_error && idempotent() &&
+        may_repeat(retry_reason::incomplete_answer, true))
+        return next_step::try_again;
+    deliver(std::move(result.response));
+    return next_step::done;
+}
+
+request_flow::next_step
+request_flow::conclude_failure(const server_placement& /*placed*/,
+                               const proxy::call_result& result)
+{
+    using proxy::call_end;
+    switch (result.end)
+    {
+    case call_end::not_sent:
+        if (may_repeat(retry_reason::connect_failed, false))
+            return next_step::try_again;
+        refuse(refusal_reason::no_capacity, return_after);
+        break;
+    case call_end::lost:
+        if (idempotent() && may_repeat(retry_reason::connection_lost, true))
+            return next_step::try_again;
+        fail(refusal_reason::backend_incomplete, status_bad_gateway);
+        break;
+    case call_end::timed_out:
+        fail(refusal_reason::deadline, status_timeout);
+        break;
+    case call_end::answered:
+    case call_end::cancelled:
+        break;
+    }
+    return next_step::done;
+}
+
+void request_flow::deliver(proxy::response_message response)
+{
+    const auto& names = context.platform.headers;
+    const auto status = response.result_int();
+    proxy::remove_connection_headers(response);
+    response.erase(names.server_load);
+    end(status, to_string(run_outcome::result), "answered");
+    proxy::respond(*ex, std::move(response));
+}
+
+void request_flow::refuse(refusal_reason reason, milliseconds retry_after)
+{
+    unsigned status = status_unavailable;
+    if (reason == refusal_reason::no_route)
+        status = status_not_found;
+    else if (reason == refusal_reason::missing_key ||
+             reason == refusal_reason::unknown_key)
+        status = status_unauthorized;
+    else if (reason == refusal_reason::customer_rate)
+        status = status_too_many;
+    if (token_taken)
+        return_quota(context.state, *customer);
+    auto response = proxy::make_response(status, to_string(reason));
+    if (retry_after > milliseconds(0))
+    {
+        constexpr double ms_per_s = 1'000;
+        std::uniform_int_distribution<std::int64_t> spread(
+            0, return_spread.count());
+        const auto ms = retry_after.count() + spread(context.state.rng);
+        std::array<char, 32> buf{};
+        const auto n = std::snprintf(buf.data(), buf.size(), "%.3f",
+                                     static_cast<double>(ms) / ms_per_s);
+        response.set(proxy::http::field::retry_after,
+                     std::string(buf.data(), static_cast<std::size_t>(n)));
+    }
+    context.counters.count_refusal(reason);
+    end(status, to_string(run_outcome::not_run), to_string(reason));
+    proxy::respond(*ex, std::move(response));
+}
+
+void request_flow::fail(refusal_reason reason, unsigned status)
+{
+    context.counters.count_refusal(reason);
+    end(status, to_string(run_outcome::unknown), to_string(reason));
+    proxy::respond(*ex, proxy::make_response(status, to_string(reason)));
+}
+
+void request_flow::end(unsigned status, std::string_view outcome,
+                       std::string_view reason)
+{
+    const auto at = now();
+    const auto took =
+        std::chrono::duration_cast<std::chrono::microseconds>(at -
+                                                              ex->received);
+    if (route != nullptr)
+        context.counters.count_request(route->id,
+                                       outcome == "result"
+                                           ? run_outcome::result
+                                       : outcome == "not-run"
+                                           ? run_outcome::not_run
+                                           : run_outcome::unknown,
+                                       took);
+    const auto state_age = std::chrono::duration_cast<milliseconds>(
+        at - context.state.snapshot->store_heard);
+    LOG4CPLUS_INFO(
+        context.log,
+        "request="
+            << id << " method=" << proxy::http::to_string(verb_of(*ex))
+            << " route=" << (route == nullptr ? "-" : route->id.value)
+            << " customer=" << (customer == nullptr ? "-" : customer->id.value)
+            << " service=" << (service.value.empty() ? "-" : service.value)
+            << " server=" << (tried.empty() ? "-" : tried.back().value)
+            << " sends=" << sends << " status=" << status << " outcome="
+            << outcome << " reason=" << reason << " ms=" << took.count() / 1'000
+            << " config="
+            << (routing ? routing->config->version.value : 0)
+            << " state_age_ms=" << state_age.count()
+            << (last_detail.empty() ? "" : " detail=\"" + last_detail + "\""));
+}
+
+} // namespace parsleyplank::edge
--- /dev/null
+++ b/src/edge/request_flow.hpp
@@ -0,0 +1,84 @@
+#ifndef PARSLEYPLANK_EDGE_REQUEST_FLOW_HPP
+#define PARSLEYPLANK_EDGE_REQUEST_FLOW_HPP
+
+// The way of one request: route, API key, quota, choice of a backend server,
+// the call, a repeat where that is safe, and the response. Belongs to the
+// traffic thread.
+
+#include <parsleyplank/core/reason.hpp>
+#include <parsleyplank/edge/traffic_state.hpp>
+#include <parsleyplank/proxy/upstream_call.hpp>
+#include <parsleyplank/telemetry/metrics.hpp>
+
+#include <log4cplus/logger.h>
+
+namespace parsleyplank::edge
+{
+
+// What requests use; outlives all of them.
+struct flow_context
+{
+    traffic_state& state;
+    const adapter& platform;
+    proxy::upstream_pool& pool;
+    telemetry::metrics& counters;
+    log4cplus::Logger log;
+};
+
+class request_flow : public std::enable_shared_from_this<request_flow>
+{
+public:
+    request_flow(flow_context& shared, proxy::exchange_ptr served);
+
+    // Answers the exchange, at the latest shortly after the deadline.
+    proxy::asio::awaitable<void> run();
+
+private:
+    enum class next_step
+    {
+        done,
+        try_again
+    };
+
+    bool admit();
+    bool admit_customer();
+    void set_deadline();
+    std::optional<server_placement> place();
+    proxy::asio::awaitable<next_step> attempt(const server_placement& placed);
+    next_step conclude(const server_placement& placed, proxy::call_result& result);
+    next_step conclude_answer(const server_placement& placed,
+                              proxy::call_result& result);
+    next_step conclude_failure(const server_placement& placed,
+                               const proxy::call_result& result);
+    void observe(const server_placement& placed, const proxy::call_result& result);
+    bool may_repeat(retry_reason reason, bool reached_server);
+    proxy::request_message make_request(const server_placement& placed) const;
+    void deliver(proxy::response_message response);
+    // The request has not run and will not.
+    void refuse(refusal_reason reason, milliseconds retry_after);
+    // The request may have run.
+    void fail(refusal_reason reason, unsigned status);
+    void end(unsigned status, std::string_view outcome,
+             std::string_view reason);
+    bool idempotent() const;
+    milliseconds remaining() const;
+
+    flow_context& context;
+    proxy::exchange_ptr ex;
+    // Keeps the route and the customer alive.
+    std::shared_ptr<const steering::routing_table> routing;
+    const steering::traffic_route* route = nullptr;
+    const steering::traffic_customer* customer = nullptr;
+    service_id service;
+    std::string id;
+    time_point deadline;
+    std::vector<backend_server_id> tried;
+    std::uint32_t sends = 0;
+    bool token_taken = false;
+    std::shared_ptr<proxy::upstream_call> call;
+    std::string last_detail;
+};
+
+} // namespace parsleyplank::edge
+
+#endif
--- /dev/null
+++ b/src/edge/rollout_control.cpp
@@ -0,0 +1,198 @@
+#include <parsleyplank/edge/rollout_control.hpp>
+
+#include <algorithm>
+
+namespace parsleyplank::edge
+{
+
+namespace
+{
+
+using steering::rollout_phase;
+
+// The record counts only for the order that it was written for.
+bool is_current(const rollout_state& rollout)
+{
+    return rollout.order && rollout.record &&
+           rollout.record->ordered == rollout.order->ordered;
+}
+
+rollout_phase phase_of(const rollout_state& rollout)
+{
+    return is_current(rollout) ? rollout.record->phase : rollout_phase::running;
+}
+
+milliseconds elapsed(const rollout_state& rollout, time_point now,
+                     std::int64_t wall_ms)
+{
+    auto time = std::chrono::duration_cast<milliseconds>(now - rollout.seen);
+    if (is_current(rollout))
+        time = std::max(time,
+                        std::min(milliseconds(wall_ms -
+                                              rollout.record->started_ms),
+                                 rollout.order->duration));
+    return time;
+}
+
+rollout_record next_record(const rollout_state& rollout, rollout_phase phase,
+                           std::int64_t wall_ms)
+{
+    rollout_record next;
+    if (rollout.record)
+        next.rejected = rollout.record->rejected;
+    next.started_ms = is_current(rollout) ? rollout.record->started_ms : wall_ms;
+    next.ordered = rollout.order->ordered;
+    next.target = rollout.order->target;
+    next.phase = phase;
+    if (phase == rollout_phase::rolled_back)
+        next.rejected.insert(next.target);
+    return next;
+}
+
+// Moves the share of a running rollout on and returns the phase that it should
+// have.
+rollout_phase advance(rollout_state& rollout,
+                      const steering::rollout_tally& tally,
+                      const rollout_control_options& options, time_point now,
+                      std::int64_t wall_ms)
+{
+    if (!rollout.fault)
+        rollout.fault = steering::find_fault(tally, options.plan);
+    if (rollout.fault)
+    {
+        rollout.share = {0};
+        return rollout_phase::rolled_back;
+    }
+    const std::chrono::duration<double> spent = elapsed(rollout, now, wall_ms);
+    const std::chrono::duration<double> whole = rollout.order->duration;
+    const auto part = whole.count() > 0 ? spent / whole : 1;
+    rollout.share = steering::planned_share(part, tally, options.plan);
+    const bool all = rollout.share.value == ppm_total;
+    if (!all)
+        rollout.whole_since.reset();
+    else if (!rollout.whole_since)
+        rollout.whole_since = now;
+    if (all && steering::move_complete(
+                   std::chrono::duration_cast<milliseconds>(
+                       now - *rollout.whole_since),
+                   options.settling))
+        return rollout_phase::completed;
+    if (!all && part >= options.last_part)
+    {
+        rollout.fault = "too few responses of the new version";
+        return rollout_phase::rolled_back;
+    }
+    return rollout_phase::running;
+}
+
+} // namespace
+
+void take_order(rollout_table& table, const steering::rollout_order& order,
+                time_point now)
+{
+    auto& rollout = table[order.service];
+    if (rollout.order && rollout.order->ordered >= order.ordered)
+        return;
+    rollout.order = order;
+    rollout.seen = now;
+    rollout.whole_since.reset();
+    rollout.fault.reset();
+    rollout.share = {0};
+    rollout.written = {};
+}
+
+void remove_order(rollout_table& table, const service_id& service)
+{
+    const auto it = table.find(service);
+    if (it != table.end())
+        it->second.order.reset();
+}
+
+void take_record(rollout_table& table, const service_id& service,
+                 const rollout_record& record, revision at)
+{
+    auto& rollout = table[service];
+    if (rollout.record_revision >= at)
+        return;
+    rollout.record = record;
+    rollout.record_revision = at;
+}
+
+std::vector<rollout_write>
+step_rollouts(rollout_table& table, const tally_table& fleet,
+              const std::map<service_id, std::size_t>& rank,
+              const rollout_control_options& options, time_point now,
+              std::int64_t wall_ms)
+{
+    std::vector<rollout_write> writes;
+    for (auto& [service, rollout] : table)
+    {
+        if (!rollout.order || phase_of(rollout) != rollout_phase::running)
+            continue;
+        const auto found = fleet.find({service, rollout.order->target});
+        const auto phase = advance(
+            rollout,
+            found == fleet.end() ? steering::rollout_tally() : found->second,
+            options, now, wall_ms);
+        const bool due =
+            !is_current(rollout) || phase != rollout.record->phase;
+        if (!due)
+            continue;
+        const auto at = rank.find(service);
+        const auto place = at == rank.end() ? 0 : at->second;
+        if (rollout.written == time_point{})
+            rollout.written = now + options.write_interval *
+                                        (static_cast<int>(place) - 1);
+        if (now - rollout.written < options.write_interval)
+            continue;
+        rollout.written = now;
+        writes.push_back({service, *rollout.order,
+                          next_record(rollout, phase, wall_ms),
+                          rollout.record_revision});
+    }
+    return writes;
+}
+
+void take_fault(rollout_table& table, const service_id& service,
+                const version_id& target, const std::string& source)
+{
+    const auto it = table.find(service);
+    if (it == table.end() || !it->second.order ||
+        it->second.order->target != target || it->second.fault)
+        return;
+    it->second.fault = "found bad by " + source;
+    it->second.share = {0};
+}
+
+version_policy policy_of(const rollout_state& rollout,
+                         const std::set<version_id>& versions)
+{
+    version_policy policy;
+    if (rollout.record)
+        policy.rejected = rollout.record->rejected;
+    if (!rollout.order)
+        return policy;
+    const auto& target = rollout.order->target;
+    switch (phase_of(rollout))
+    {
+    case rollout_phase::completed:
+        std::ranges::copy_if(
+            versions, std::inserter(policy.rejected, policy.rejected.end()),
+            [&](const version_id& it) { return it != target; });
+        policy.rejected.erase(target);
+        break;
+    case rollout_phase::rolled_back:
+        policy.rejected.insert(target);
+        break;
+    case rollout_phase::running:
+        policy.target = target;
+        policy.target_share = rollout.share;
+        policy.judged = true;
+        if (rollout.fault)
+            policy.rejected.insert(target);
+        break;
+    }
+    return policy;
+}
+
+} // namespace parsleyplank::edge
--- /dev/null
+++ b/src/edge/settings.cpp
@@ -0,0 +1,85 @@
+#include <parsleyplank/edge/settings.hpp>
+#include <parsleyplank/settings/table_reader.hpp>
+
+namespace parsleyplank::edge
+{
+
+namespace
+{
+
+using settings_file::table_reader;
+
+void read_endpoint(table_reader& in, const char* key,
+                   steering::server_endpoint& endpoint, bool required)
+{
+    in.endpoint(key, endpoint.address, endpoint.port, required);
+}
+
+void read_instance(table_reader in, settings& s)
+{
+    in.text("id", s.id.value, true);
+    in.text("region", s.region.value, true);
+    in.text("failure_domain", s.domain.value, true);
+    in.address("address", s.address);
+    in.number("memory_mb", s.memory_mb, 1, false);
+    in.reject_unknown();
+}
+
+void read_listen(table_reader in, settings& s)
+{
+    read_endpoint(in, "callers", s.callers, true);
+    read_endpoint(in, "readiness", s.readiness, true);
+    read_endpoint(in, "directory", s.directory, true);
+    read_endpoint(in, "admin", s.admin, false);
+    in.number("peer_port", s.peer_port, 1, true);
+    in.reject_unknown();
+}
+
+void read_bounds(table_reader in, fleet_bounds& bounds)
+{
+    in.duration("contact", bounds.contact, false);
+    in.duration("drain", bounds.drain, false);
+    in.duration("grace", bounds.grace, false);
+    in.duration("directory_ttl", bounds.directory_ttl, false);
+    in.fraction("retry_ratio", bounds.retry_ratio, false);
+    in.duration("retry_window", bounds.retry_window, false);
+    in.fraction("retry_slack", bounds.retry_slack, false);
+    in.fraction("shift_cap", bounds.shift_cap, false);
+    in.flag("strict_keys", bounds.strict_keys);
+    in.reject_unknown();
+}
+
+} // namespace
+
+settings parse_settings(std::string_view text, const std::string& name)
+{
+    settings s;
+    settings_file::parse_sections(
+        text, name,
+        {"instance", "listen", "store", "failure_domains", "bounds", "logging"},
+        [&](const toml::table& root, std::vector<std::string>& problems)
+        {
+            read_instance({root, "instance", name, problems}, s);
+            read_listen({root, "listen", name, problems}, s);
+            table_reader store(root, "store", name, problems);
+            read_endpoint(store, "address", s.store, true);
+            store.reject_unknown();
+            table_reader domains(root, "failure_domains", name, problems);
+            domains.texts(
+                [&](const std::string& domain, const std::string& region)
+                { s.regions[failure_domain_id(domain)] = region_id(region); });
+            read_bounds({root, "bounds", name, problems}, s.bounds);
+            table_reader logging(root, "logging", name, problems);
+            logging.text("level", s.log_level, false);
+            logging.number("lines_per_s", s.log_lines_per_s, 1, false);
+            logging.reject_unknown();
+        });
+    return s;
+}
+
+settings read_settings(const std::filesystem::path& file)
+{
+    return parse_settings(settings_file::read_text(file), file.string());
+}
+
+} // namespace parsleyplank::edge
--- /dev/null
+++ b/src/edge/store_writer.cpp
@@ -0,0 +1,66 @@
+#include <parsleyplank/edge/store_writer.hpp>
+
+namespace parsleyplank::edge
+{
+
+namespace
+{
+
+// The control thread submits a few jobs a second and repeats those that fail.
+constexpr std::size_t most_waiting_jobs = 32;
+
+} // namespace
+
+store_writer::store_writer(std::unique_ptr<store::lease_store> to,
+                           std::function<void(const std::string&)> on_failure)
+    : target(std::move(to)), failed(std::move(on_failure)),
+      thread([this] { run(); })
+{
+}
+
+store_writer::~store_writer()
+{
+    {
+        const std::lock_guard lock(guard);
+        stopping = true;
+    }
+    wake.notify_one();
+    thread.join();
+}
+
+bool store_writer::submit(job work)
+{
+    {
+        const std::lock_guard lock(guard);
+        if (jobs.size() >= most_waiting_jobs)
+            return false;
+        jobs.push_back(std::move(work));
+    }
+    wake.notify_one();
+    return true;
+}
+
+void store_writer::run()
+{
+    std::unique_lock lock(guard);
+    while (true)
+    {
+        wake.wait(lock, [this] { return stopping || !jobs.empty(); });
+        if (stopping)
+            return;
+        const auto work = std::move(jobs.front());
+        jobs.pop_front();
+        lock.unlock();
+        try
+        {
+            work(*target);
+        }
+        catch (const error& ec)
+        {
+            failed(ec.what());
+        }
+        lock.lock();
+    }
+}
+
+} // namespace parsleyplank::edge
--- /dev/null
+++ b/src/edge/traffic_plane.cpp
@@ -0,0 +1,189 @@
+#include <parsleyplank/core/log.hpp>
+#include <parsleyplank/edge/traffic_plane.hpp>
+
+#include <log4cplus/loggingmacros.h>
+
+#include <algorithm>
+
+namespace parsleyplank::edge
+{
+
+namespace
+{
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+
+// Callers ask again after this time, or the deployment's bound if that is
+// shorter. Short, because an instance that has gone is named until then.
+constexpr milliseconds directory_ttl{2'000};
+// How often idle connections to servers are looked at.
+constexpr milliseconds pool_sweep_interval{1'000};
+// Part of the process's memory that request bodies may take.
+constexpr std::size_t body_memory_divisor = 4;
+constexpr std::size_t bytes_per_mb = 1'000'000;
+
+proxy::front_options caller_options(const settings& config)
+{
+    proxy::front_options options;
+    options.most_body_bytes = static_cast<std::size_t>(config.memory_mb) *
+                              bytes_per_mb / body_memory_divisor;
+    return options;
+}
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+traffic_plane::traffic_plane(const settings& config, const adapter& adapted,
+                             telemetry::metrics& metrics)
+    : platform(adapted), counters(metrics), io(1),
+      work(proxy::asio::make_work_guard(io)), pool(io, {}),
+      context{state, platform, pool, counters, part_logger("traffic")},
+      sweep_timer(io)
+{
+    state.config = config;
+    state.rng.seed(std::hash<instance_id>{}(config.id));
+    const auto listen = [&](const steering::server_endpoint& where,
+                            proxy::front_options options, auto handler)
+    {
+        listeners.push_back(std::make_unique<proxy::front_listener>(
+            io, where, std::move(options),
+            [this, handler](const proxy::exchange_ptr& ex)
+            { (this->*handler)(ex); }));
+    };
+    listen(config.callers, caller_options(config),
+           &traffic_plane::serve_request);
+    listen(config.directory, {}, &traffic_plane::serve_directory);
+    listen(config.readiness, {}, &traffic_plane::serve_readiness);
+    if (config.admin.port != 0)
+        listen(config.admin, {}, &traffic_plane::serve_admin);
+    sweep();
+    thread = std::thread([this] { io.run(); });
+}
+
+traffic_plane::~traffic_plane()
+{
+    io.stop();
+    thread.join();
+}
+
+void traffic_plane::publish(snapshot_ptr next)
+{
+    proxy::asio::post(
+        io,
+        [this, next = std::move(next)]
+        {
+            if (next->routing)
+                listeners.front()->set_limits(next->routing->config->limits);
+            if (next->draining)
+                listeners.front()->drain();
+            adopt_snapshot(state, next, now());
+        });
+}
+
+void traffic_plane::collect(std::function<void(traffic_report)> take)
+{
+    proxy::asio::post(io,
+                      [this, take = std::move(take)]
+                      {
+                          auto report = make_report(state, now());
+                          report.open_exchanges =
+                              listeners.front()->open_exchanges();
+                          take(std::move(report));
+                      });
+}
+
+void traffic_plane::stop_accepting()
+{
+    proxy::asio::post(io, [this] { listeners.front()->stop(); });
+}
+
+void traffic_plane::serve_request(const proxy::exchange_ptr& ex)
+{
+    const auto flow = std::make_shared<request_flow>(context, ex);
+    proxy::asio::co_spawn(
+        io, [flow] { return flow->run(); },
+        [this, ex](const std::exception_ptr& ec)
+        {
+            if (!ec)
+                return;
+            try
+            {
+                std::rethrow_exception(ec);
+            }
+            catch (const std::exception& problem)
+            {
+                LOG4CPLUS_ERROR(context.log,
+                                "event=request_failed detail=\""
+                                    << problem.what() << '"');
+            }
+            constexpr unsigned internal_error = 500;
+            proxy::respond(*ex, proxy::make_response(internal_error,
+                                                     "internal error"));
+        });
+}
+
+void traffic_plane::serve_directory(const proxy::exchange_ptr& ex)
+{
+    const auto target = ex->request.target();
+    const auto query =
+        platform.parse_directory_query({target.data(), target.size()});
+    if (!query)
+    {
+        proxy::respond(*ex, proxy::make_response(status_not_found, "no such "
+                                                                   "path"));
+        return;
+    }
+    counters.count_lookup();
+    const auto found = steering::choose_instances(
+        state.snapshot->instances, query->domain, query->region);
+    auto response = proxy::make_response(
+        found.empty() ? status_unavailable : status_ok,
+        platform.format_directory_answer(
+            found, std::min(directory_ttl, state.config.bounds.directory_ttl)));
+    response.set(proxy::http::field::content_type, "application/json");
+    proxy::respond(*ex, std::move(response));
+}
+
+void traffic_plane::serve_readiness(const proxy::exchange_ptr& ex)
+{
+    const auto target = ex->request.target();
+    const bool known = std::string_view(target.data(), target.size()) ==
+                       platform.ready_path;
+    const bool ready = state.snapshot->routing && !state.snapshot->draining;
+    const auto status = !known   ? status_not_found
+                        : ready ? status_ok
+                                : status_unavailable;
+    proxy::respond(*ex,
+                   proxy::make_response(status, ready ? "ready" : "not ready"));
+}
+
+void traffic_plane::serve_admin(const proxy::exchange_ptr& ex)
+{
+    if (ex->request.target() == "/metrics")
+    {
+        proxy::respond(*ex,
+                       proxy::make_response(status_ok, counters.to_text()));
+        return;
+    }
+    proxy::respond(*ex, proxy::make_response(status_not_found, "no such path"));
+}
+
+void traffic_plane::sweep()
+{
+    pool.sweep();
+    sweep_timer.expires_after(pool_sweep_interval);
+    sweep_timer.async_wait(
+        [this](const proxy::error_code& ec)
+        {
+            if (!ec)
+                sweep();
+        });
+}
+
+} // namespace parsleyplank::edge
--- /dev/null
+++ b/src/edge/traffic_state.cpp
@@ -0,0 +1,284 @@
+#include <parsleyplank/edge/traffic_state.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+namespace parsleyplank::edge
+{
+
+namespace
+{
+
+const std::vector<steering::server_ptr>& servers_of(const traffic_state& state,
+                                                    const service_id& service)
+{
+    static const std::vector<steering::server_ptr> none;
+    const auto it = state.snapshot->servers.find(service);
+    return it == state.snapshot->servers.end() ? none : it->second;
+}
+
+placement::retry_budget& budget_of(traffic_state& state,
+                                   const service_id& service)
+{
+    const auto members =
+        std::max<std::size_t>(1, state.snapshot->members.size());
+    const auto& bounds = state.config.bounds;
+    const auto used = state.options.retry_part_used;
+    const auto reserve =
+        bounds.retry_slack * used / static_cast<double>(members);
+    const auto [it, added] = state.retries.try_emplace(service);
+    auto& budget = it->second;
+    budget.part = bounds.retry_ratio * used;
+    budget.reserve = std::max(1.0, reserve);
+    if (added)
+        budget.available = budget.reserve;
+    return budget;
+}
+
+// Returns whether the next request of the service is due to the target version.
+bool target_is_due(traffic_state& state, const service_id& service,
+                   share_ppm share)
+{
+    auto& credit = state.target_credit[service];
+    credit += static_cast<double>(share.value) / ppm_total;
+    if (credit < 1)
+        return false;
+    credit -= 1;
+    return true;
+}
+
+steering::distance distance_to(const settings& self,
+                               const steering::backend_server& server)
+{
+    if (server.domain == self.domain)
+        return steering::distance::same_domain;
+    return server.region == self.region ? steering::distance::same_region
+                                        : steering::distance::other_region;
+}
+
+// Refreshes this instance's part of the rate that a cold server bears and
+// returns whether it allows a request now.
+bool cold_budget_allows(traffic_state& state,
+                        const steering::backend_server& server,
+                        steering::server_load& load, time_point now)
+{
+    const auto& routing = *state.snapshot->routing;
+    const auto service = routing.services.find(server.service);
+    if (service == routing.services.end() || service->second->warmup_rate <= 0)
+        return true;
+    const auto rate = steering::cold_rate(server, state.config.id,
+                                          state.snapshot->members,
+                                          service->second->warmup_rate);
+    if (rate.value <= 0)
+        return false;
+    auto& budget = load.cold_budget;
+    if (budget.refilled == time_point{})
+        budget = {rate, tokens(1), tokens(1), now};
+    quota::resize(budget, rate, tokens(1), now);
+    return budget.level >= tokens(1);
+}
+
+bool is_cold(const steering::backend_server& server,
+             const steering::server_load& load, time_point now)
+{
+    return now < server.cold_until || now < load.cold_until;
+}
+
+std::vector<steering::candidate>
+find_candidates(traffic_state& state, const placement_request& request,
+                time_point now)
+{
+    std::vector<steering::candidate> found;
+    for (const auto& server : servers_of(state, request.service))
+    {
+        if (!steering::region_allowed(request.route, request.customer,
+                                      server->region) ||
+            std::ranges::find(request.tried, server->id) !=
+                request.tried.end())
+            continue;
+        auto& load = state.loads[server->id];
+        const bool cold = is_cold(*server, load, now);
+        if (cold && !cold_budget_allows(state, *server, load, now))
+            continue;
+        found.push_back(
+            {server, &load, distance_to(state.config, *server), cold});
+    }
+    return found;
+}
+
+// Leaves the candidates of the version that the request is due to; those of the
+// other versions if it has none.
+void keep_version(traffic_state& state, const service_id& service,
+                  std::vector<steering::candidate>& candidates)
+{
+    const auto found = state.snapshot->versions.find(service);
+    if (found == state.snapshot->versions.end())
+        return;
+    const auto& policy = found->second;
+    std::erase_if(candidates,
+                  [&](const steering::candidate& it)
+                  { return policy.rejected.contains(it.server->version); });
+    if (!policy.target)
+        return;
+    const bool due = target_is_due(state, service, policy.target_share);
+    const auto others = std::stable_partition(
+        candidates.begin(), candidates.end(),
+        [&](const steering::candidate& it)
+        { return (it.server->version == *policy.target) == due; });
+    const bool matching = others != candidates.begin();
+    // Before the target has the whole share, a request that is not due to it
+    // must not reach it, or it would exceed its share.
+    if (matching || !due)
+        candidates.erase(others, candidates.end());
+}
+
+} // namespace
+
+void adopt_snapshot(traffic_state& state, snapshot_ptr next, time_point now)
+{
+    state.snapshot = std::move(next);
+    for (const auto& [id, share] : state.snapshot->shares)
+    {
+        const auto [it, added] = state.buckets.try_emplace(id);
+        // A new bucket holds what one request needs and fills from there.
+        if (added)
+            it->second = {share.rate, share.burst, tokens(1), now};
+        quota::resize(it->second, share.rate, share.burst, now);
+    }
+    std::erase_if(state.buckets, [&](const auto& it)
+                  { return !state.snapshot->shares.contains(it.first); });
+    std::set<backend_server_id> present;
+    for (const auto& servers : state.snapshot->servers | std::views::values)
+        std::ranges::transform(servers, std::inserter(present, present.end()),
+                               [](const auto& it) { return it->id; });
+    std::erase_if(state.loads,
+                  [&](const auto& it)
+                  {
+                      return it.second.in_flight.empty() &&
+                             !present.contains(it.first);
+                  });
+}
+
+const service_id& next_service(traffic_state& state,
+                               const steering::traffic_route& route)
+{
+    if (route.services.size() == 1)
+        return route.services.front().service;
+    auto& credit = state.splits[route.id].credit;
+    double sum = 0;
+    for (const auto& it : route.services)
+    {
+        credit[it.service] += it.weight;
+        sum += it.weight;
+    }
+    const auto& chosen = *std::ranges::max_element(
+        route.services, {}, [&](const steering::weighted_service& it)
+        { return it.weight > 0 ? credit[it.service] : -sum; });
+    credit[chosen.service] -= sum;
+    return chosen.service;
+}
+
+std::optional<server_placement> place_request(traffic_state& state,
+                                       const placement_request& request,
+                                       time_point now)
+{
+    auto candidates = find_candidates(state, request, now);
+    keep_version(state, request.service, candidates);
+    const auto& times = times_of(state, request.route, request.service);
+    const auto chosen = steering::choose_server(
+        candidates, request.route.affinity ? request.affinity_key : "", times,
+        state.options.ranking, state.options.health, now);
+    if (!chosen)
+        return std::nullopt;
+    const auto& it = candidates[chosen->position];
+    if (it.cold)
+        quota::take(it.load->cold_budget, tokens(1), now);
+    return server_placement{it.server, *chosen, it.cold};
+}
+
+bool take_quota(traffic_state& state, const steering::traffic_customer& of,
+                time_point now)
+{
+    steering::count_demand(state.meters[of.id]);
+    if (of.rate.value <= 0)
+        return true;
+    const auto it = state.buckets.find(of.id);
+    return it == state.buckets.end() ||
+           quota::take(it->second, tokens(1), now);
+}
+
+void return_quota(traffic_state& state, const steering::traffic_customer& of)
+{
+    const auto it = state.buckets.find(of.id);
+    if (of.rate.value <= 0 || it == state.buckets.end())
+        return;
+    it->second.level =
+        std::min(it->second.burst, it->second.level + tokens(1));
+}
+
+milliseconds quota_wait(const traffic_state& state,
+                        const steering::traffic_customer& of)
+{
+    constexpr double ms_per_s = 1'000;
+    constexpr double longest_ms = 5'000;
+    const auto it = state.buckets.find(of.id);
+    if (it == state.buckets.end() || it->second.rate.value <= 0)
+        return milliseconds(static_cast<std::int64_t>(longest_ms));
+    const auto missing = std::max(0.0, 1 - it->second.level.value);
+    return milliseconds(static_cast<std::int64_t>(
+        std::min(longest_ms, missing / it->second.rate.value * ms_per_s)));
+}
+
+void count_send(traffic_state& state, const service_id& service)
+{
+    placement::record_request(budget_of(state, service));
+}
+
+bool take_repeat(traffic_state& state, const service_id& service)
+{
+    return placement::take_retry(budget_of(state, service));
+}
+
+steering::service_times& times_of(traffic_state& state,
+                                  const steering::traffic_route& route,
+                                  const service_id& service)
+{
+    const auto [it, added] = state.times.try_emplace({route.id, service});
+    if (added)
+        it->second = steering::initial_times(route.target_latency);
+    return it->second;
+}
+
+void count_result(traffic_state& state, const server_placement& placed, bool failed,
+                  bool slow)
+{
+    const auto& server = *placed.server;
+    const auto policy = state.snapshot->versions.find(server.service);
+    if (policy == state.snapshot->versions.end() || !policy->second.judged ||
+        !policy->second.target)
+        return;
+    auto& tally = state.tallies[{server.service, *policy->second.target}];
+    auto& side = server.version == policy->second.target ? tally.target
+                                                         : tally.others;
+    if (failed)
+    {
+        ++side.bad;
+        return;
+    }
+    ++side.good;
+    if (slow)
+        ++side.slow;
+}
+
+traffic_report make_report(traffic_state& state, time_point now)
+{
+    traffic_report report;
+    for (auto& [id, meter] : state.meters)
+        report.demands[id] = steering::measure_demand(
+            meter, state.options.demand_half_life, now);
+    report.tallies = state.tallies;
+    return report;
+}
+
+} // namespace parsleyplank::edge
--- /dev/null
+++ b/src/edge/traffic_state.hpp
@@ -0,0 +1,122 @@
+#ifndef PARSLEYPLANK_EDGE_TRAFFIC_STATE_HPP
+#define PARSLEYPLANK_EDGE_TRAFFIC_STATE_HPP
+
+// State of the traffic thread that outlives a request, and the decisions over
+// it: which service and server a request goes to, quotas and retry budgets.
+
+#include <parsleyplank/edge/adapter.hpp>
+#include <parsleyplank/edge/settings.hpp>
+#include <parsleyplank/edge/snapshot.hpp>
+#include <parsleyplank/placement/retry_budget.hpp>
+#include <parsleyplank/quota/token_bucket.hpp>
+#include <parsleyplank/steering/server_ranking.hpp>
+
+#include <random>
+#include <string>
+
+namespace parsleyplank::edge
+{
+
+struct traffic_options
+{
+    steering::ranking_options ranking;
+    steering::health_options health;
+    // Time in which the weight of past demand halves.
+    milliseconds demand_half_life{1'500};
+    // Part of the fleet's retry allowance that instances use. The rest covers
+    // instances that know fewer members than there are.
+    double retry_part_used = 0.8;
+    // Time after which an unreachable server is tried again.
+    milliseconds unreachable_pause{1'000};
+    // A response counts as slow above this multiple of the expected time.
+    double slow_factor = 3.0;
+};
+
+// Smooth weighted division: each service gets its weight's part of any run of
+// requests.
+struct split_state
+{
+    std::map<service_id, double> credit;
+};
+
+struct traffic_state
+{
+    settings config;
+    traffic_options options;
+    snapshot_ptr snapshot = std::make_shared<const steering_snapshot>();
+    std::unordered_map<backend_server_id, steering::server_load> loads;
+    std::map<std::pair<route_id, service_id>, steering::service_times> times;
+    std::unordered_map<customer_id, quota::token_bucket> buckets;
+    std::unordered_map<customer_id, steering::demand_meter> meters;
+    std::unordered_map<service_id, placement::retry_budget> retries;
+    std::unordered_map<route_id, split_state> splits;
+    // Part of the next request that the target version is due.
+    std::unordered_map<service_id, double> target_credit;
+    tally_table tallies;
+    std::mt19937_64 rng;
+    std::uint64_t next_call = 1;
+};
+
+// Puts a new snapshot in force: limits of customers, forgotten servers.
+void adopt_snapshot(traffic_state& state, snapshot_ptr next, time_point now);
+
+// Returns the service that the next request of the route goes to.
+const service_id& next_service(traffic_state& state,
+                               const steering::traffic_route& route);
+
+// A request as far as the choice of a server depends on it.
+struct placement_request
+{
+    const steering::traffic_route& route;
+    const steering::traffic_customer* customer = nullptr;
+    service_id service;
+    std::string affinity_key;
+    // Servers that this request has been sent to before.
+    std::span<const backend_server_id> tried;
+};
+
+struct server_placement
+{
+    steering::server_ptr server;
+    steering::ranked_server rank;
+    bool cold = false;
+};
+
+// Returns the server for the request and takes what a cold one needs from its
+// budget, or nothing if no server may be used.
+std::optional<server_placement> place_request(traffic_state& state,
+                                       const placement_request& request,
+                                       time_point now);
+
+// Takes a token of the customer; always true without a limit.
+bool take_quota(traffic_state& state, const steering::traffic_customer& of,
+                time_point now);
+
+// Gives back the token of a request that has not run.
+void return_quota(traffic_state& state, const steering::traffic_customer& of);
+
+// Returns the time until the customer has a token again.
+milliseconds quota_wait(const traffic_state& state,
+                        const steering::traffic_customer& of);
+
+// Counts a first send to the service, which pays for later repeats.
+void count_send(traffic_state& state, const service_id& service);
+
+// Takes one repeated send to the service from the budget.
+bool take_repeat(traffic_state& state, const service_id& service);
+
+// Returns the service times of a route at a service.
+steering::service_times& times_of(traffic_state& state,
+                                  const steering::traffic_route& route,
+                                  const service_id& service);
+
+// Counts the result of a request if the versions of its service are judged.
+void count_result(traffic_state& state, const server_placement& placed, bool failed,
+                  bool slow);
+
+// Returns the counts for the control thread.
+traffic_report make_report(traffic_state& state, time_point now);
+
+} // namespace parsleyplank::edge
+
+#endif
--- /dev/null
+++ b/src/proxy/front_connection.cpp
@@ -0,0 +1,283 @@
+#include <parsleyplank/proxy/front_connection.hpp>
+
+#include <algorithm>
+
+namespace parsleyplank::proxy
+{
+
+namespace
+{
+
+constexpr std::size_t read_chunk_bytes = 4'096;
+
+auto into(error_code& ec)
+{
+    return asio::redirect_error(asio::use_awaitable, ec);
+}
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+// Returns the status for a request that can't be parsed, 0 if the connection
+// ended.
+unsigned status_of(const error_code& ec)
+{
+    constexpr unsigned bad_request = 400;
+    constexpr unsigned too_large = 413;
+    constexpr unsigned header_too_large = 431;
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
+        return header_too_large;
+    if (ec == http::error::body_limit)
+        return too_large;
+    if (ec == http::error::end_of_stream || ec == http::error::partial_message)
+        return 0;
+    const static error_code sample = http::error::bad_method;
+    return ec.category() == sample.category() ? bad_request : 0;
+}
+
+} // namespace
+
+front_connection::front_connection(tcp::socket connected,
+                                   std::shared_ptr<front_shared> shared_state)
+    : socket(std::move(connected)), shared(std::move(shared_state)),
+      writer_wake(socket.get_executor()), reader_wake(socket.get_executor()),
+      since(now())
+{
+    writer_wake.expires_at(time_point::max());
+    reader_wake.expires_at(time_point::max());
+}
+
+void front_connection::start()
+{
+    const auto self = shared_from_this();
+    asio::co_spawn(
+        socket.get_executor(), [self] { return self->read_requests(); },
+        asio::detached);
+    asio::co_spawn(
+        socket.get_executor(), [self] { return self->write_responses(); },
+        asio::detached);
+}
+
+void front_connection::enter(activity next)
+{
+    now_doing = next;
+    since = now();
+}
+
+void front_connection::close()
+{
+    if (!open)
+        return;
+    open = false;
+    error_code ec;
+    // Errors do not matter: the descriptor is released either way.
+    socket.close(ec);
+    writer_wake.cancel();
+    reader_wake.cancel();
+}
+
+void front_connection::caller_gone()
+{
+    close();
+    const auto waiting = std::exchange(pending, {});
+    for (const auto& it : waiting)
+    {
+        if (!it->response)
+            release(*it);
+        cancel(*it);
+    }
+}
+
+bool front_connection::check(time_point at)
+{
+    if (!open)
+        return false;
+    const auto& limits = shared->options.limits;
+    const auto age = at - since;
+    const bool writing = write_began != time_point{};
+    const bool idle = pending.empty() && !writing;
+    const bool expired =
+        (now_doing == activity::idle && idle && age > limits.idle_timeout) ||
+        (now_doing == activity::reading_header && idle &&
+         age > limits.header_timeout) ||
+        (now_doing == activity::reading_body && age > limits.idle_timeout) ||
+        (now_doing == activity::closing && idle &&
+         age > shared->options.close_timeout) ||
+        (writing && at - write_began > shared->options.write_timeout);
+    if (expired)
+        caller_gone();
+    return open;
+}
+
+void front_connection::close_if_idle()
+{
+    if (open && pending.empty() && write_began == time_point{} &&
+        now_doing != activity::reading_body)
+        close();
+}
+
+void front_connection::accept_request(request_message request)
+{
+    const auto ex = std::make_shared<exchange>();
+    ex->received = now();
+    ex->request = std::move(request);
+    ex->body_bytes = ex->request.body().size();
+    shared->body_bytes += ex->body_bytes;
+    ++shared->open_exchanges;
+    ex->on_response = [weak = weak_from_this(), it = ex.get()]
+    {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->release(*it);
+        self->writer_wake.cancel();
+    };
+    pending.push_back(ex);
+    shared->handler(ex);
+}
+
+void front_connection::release(const exchange& ex)
+{
+    shared->body_bytes -= ex.body_bytes;
+    --shared->open_exchanges;
+}
+
+void front_connection::refuse(unsigned status, std::string_view text)
+{
+    const auto ex = std::make_shared<exchange>();
+    ex->response = make_response(status, text);
+    pending.push_back(ex);
+    last_request_read = true;
+    writer_wake.cancel();
+}
+
+asio::awaitable<bool> front_connection::read_request()
+{
+    error_code ec;
+    if (buffer.size() == 0)
+    {
+        enter(activity::idle);
+        const auto n = co_await socket.async_read_some(
+            buffer.prepare(read_chunk_bytes), into(ec));
+        if (ec)
+            co_return false;
+        buffer.commit(n);
+    }
+    enter(activity::reading_header);
+    http::request_parser<http::string_body> parser;
+    const auto& options = shared->options;
+    parser.header_limit(
+        static_cast<std::uint32_t>(options.limits.max_header_bytes));
+    parser.body_limit(options.limits.max_body_bytes);
+    co_await http::async_read_header(socket, buffer, parser, into(ec));
+    if (!ec && !parser.is_done())
+    {
+        enter(activity::reading_body);
+        const auto length = parser.content_length().value_or(0);
+        if (shared->body_bytes + length > options.most_body_bytes)
+        {
+            refuse(503, "no memory for the request body");
+            co_return false;
+        }
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue") &&
+            pending.empty())
+        {
+            static const std::string proceed = "HTTP/1.1 100 Continue\r\n\r\n";
+            co_await asio::async_write(socket, asio::buffer(proceed), into(ec));
+        }
+        if (!ec)
+            co_await http::async_read(socket, buffer, parser, into(ec));
+    }
+    if (ec)
+    {
+        if (const auto status = status_of(ec); status != 0)
+            refuse(status, ec.message());
+        co_return false;
+    }
+    if (last_request_read)
+        co_return false;
+    last_request_read = !parser.keep_alive();
+    accept_request(parser.release());
+    co_return true;
+}
+
+asio::awaitable<void> front_connection::read_requests()
+{
+    const auto self = shared_from_this();
+    while (open && !last_request_read)
+    {
+        if (!co_await read_request())
+            break;
+        while (open && pending.size() >= shared->options.most_pipelined)
+        {
+            error_code ec;
+            co_await reader_wake.async_wait(into(ec));
+        }
+    }
+    if (open && last_request_read)
+        co_await read_until_closed();
+    if (open)
+        caller_gone();
+}
+
+// Reads on so that a caller that goes is noticed, and so that closing does not
+// reset the connection before the caller has taken its response.
+asio::awaitable<void> front_connection::read_until_closed()
+{
+    enter(activity::closing);
+    error_code ec;
+    while (open && !ec)
+    {
+        buffer.clear();
+        co_await socket.async_read_some(buffer.prepare(read_chunk_bytes),
+                                        into(ec));
+    }
+}
+
+asio::awaitable<void> front_connection::write_responses()
+{
+    const auto self = shared_from_this();
+    while (open)
+    {
+        if (pending.empty() || !pending.front()->response)
+        {
+            error_code ec;
+            writer_wake.expires_at(time_point::max());
+            co_await writer_wake.async_wait(into(ec));
+            continue;
+        }
+        const auto ex = pending.front();
+        // A response that closes the connection has to be the last one: those
+        // behind it would be lost although they may have run.
+        if (shared->draining && pending.size() == 1)
+            last_request_read = true;
+        const bool last = last_request_read && pending.size() == 1;
+        auto& response = *ex->response;
+        response.keep_alive(!last);
+        response.prepare_payload();
+        write_began = now();
+        error_code ec;
+        co_await http::async_write(socket, response, into(ec));
+        write_began = {};
+        if (!open)
+            co_return;
+        pending.pop_front();
+        reader_wake.cancel();
+        since = now();
+        if (ec)
+        {
+            caller_gone();
+            co_return;
+        }
+        if (last)
+        {
+            enter(activity::closing);
+            socket.shutdown(tcp::socket::shutdown_send, ec);
+            co_return;
+        }
+    }
+}
+
+} // namespace parsleyplank::proxy
--- /dev/null
+++ b/src/proxy/front_listener.cpp
@@ -0,0 +1,118 @@
+#include <parsleyplank/core/error.hpp>
+#include <parsleyplank/proxy/front_listener.hpp>
+
+#include <algorithm>
+
+namespace parsleyplank::proxy
+{
+
+namespace
+{
+
+// Precision of the time limits of connections.
+constexpr milliseconds sweep_interval{500};
+// Queue of connections that wait to be accepted; many callers may come at once.
+constexpr int accept_backlog = 1'024;
+// Pause after a failed accept, e.g. when no descriptor is free.
+constexpr milliseconds accept_pause{50};
+
+tcp::endpoint to_endpoint(const steering::server_endpoint& where)
+{
+    return {asio::ip::make_address(where.address), where.port};
+}
+
+} // namespace
+
+front_listener::front_listener(asio::io_context& io,
+                               const steering::server_endpoint& where,
+                               front_options options, request_handler handler)
+    : acceptor(io), sweep_timer(io), shared(std::make_shared<front_shared>())
+{
+    shared->options = std::move(options);
+    shared->handler = std::move(handler);
+    try
+    {
+        const auto endpoint = to_endpoint(where);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen(accept_backlog);
+    }
+    catch (const boost::system::system_error& ec)
+    {
+        throw error("can't listen on " + where.address + ":" +
+                    std::to_string(where.port) + ": " + ec.what());
+    }
+    asio::co_spawn(
+        io, [this] { return accept_connections(); }, asio::detached);
+    sweep();
+}
+
+void front_listener::set_limits(const steering::caller_limits& limits)
+{
+    shared->options.limits = limits;
+}
+
+void front_listener::drain()
+{
+    shared->draining = true;
+}
+
+void front_listener::stop()
+{
+    shared->draining = true;
+    error_code ec;
+    acceptor.close(ec);
+    for (const auto& it : connections)
+        if (const auto connection = it.lock())
+            connection->close_if_idle();
+}
+
+std::size_t front_listener::open_exchanges() const
+{
+    return shared->open_exchanges;
+}
+
+asio::awaitable<void> front_listener::accept_connections()
+{
+    while (acceptor.is_open())
+    {
+        error_code ec;
+        auto socket = co_await acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, ec));
+        if (ec)
+        {
+            if (!acceptor.is_open())
+                co_return;
+            asio::steady_timer pause(acceptor.get_executor(), accept_pause);
+            co_await pause.async_wait(
+                asio::redirect_error(asio::use_awaitable, ec));
+            continue;
+        }
+        socket.set_option(tcp::no_delay(true), ec);
+        const auto connection =
+            std::make_shared<front_connection>(std::move(socket), shared);
+        connections.push_back(connection);
+        connection->start();
+    }
+}
+
+void front_listener::sweep()
+{
+    const auto now = std::chrono::steady_clock::now();
+    connections.remove_if(
+        [&](const std::weak_ptr<front_connection>& it)
+        {
+            const auto connection = it.lock();
+            return !connection || !connection->check(now);
+        });
+    sweep_timer.expires_after(sweep_interval);
+    sweep_timer.async_wait(
+        [this](const error_code& ec)
+        {
+            if (!ec)
+                sweep();
+        });
+}
+
+} // namespace parsleyplank::proxy
--- /dev/null
+++ b/src/proxy/messages.cpp
@@ -0,0 +1,74 @@
+#include <parsleyplank/proxy/messages.hpp>
+
+#include <array>
+#include <vector>
+
+namespace parsleyplank::proxy
+{
+
+namespace
+{
+
+beast::string_view to_beast(std::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+void respond(exchange& ex, response_message response)
+{
+    if (ex.response || ex.cancelled)
+        return;
+    ex.response = std::move(response);
+    if (ex.on_response)
+        ex.on_response();
+}
+
+void cancel(exchange& ex)
+{
+    if (ex.cancelled || ex.response)
+        return;
+    ex.cancelled = true;
+    if (const auto notify = std::exchange(ex.on_cancel, nullptr))
+        notify();
+}
+
+response_message make_response(unsigned status, std::string_view text)
+{
+    constexpr unsigned http_1_1 = 11;
+    response_message response(static_cast<http::status>(status), http_1_1);
+    response.set(http::field::content_type, "text/plain");
+    response.body() = std::string(text);
+    return response;
+}
+
+std::string_view header_value(const http::fields& fields, std::string_view name)
+{
+    const auto it = fields.find(to_beast(name));
+    if (it == fields.end())
+        return {};
+    return {it->value().data(), it->value().size()};
+}
+
+void remove_connection_headers(http::fields& fields)
+{
+    std::vector<std::string> named;
+    const auto range = fields.equal_range(http::field::connection);
+    for (auto it = range.first; it != range.second; ++it)
+        for (const auto& token : http::token_list(it->value()))
+            named.emplace_back(token.data(), token.size());
+    for (const auto& name : named)
+        fields.erase(name);
+    constexpr std::array fixed{
+        http::field::connection,        http::field::keep_alive,
+        http::field::proxy_connection,  http::field::transfer_encoding,
+        http::field::te,                http::field::trailer,
+        http::field::upgrade,           http::field::content_length,
+        http::field::expect,            http::field::proxy_authenticate,
+        http::field::proxy_authorization};
+    for (const auto field : fixed)
+        fields.erase(field);
+}
+
+} // namespace parsleyplank::proxy
--- /dev/null
+++ b/src/proxy/upstream_call.cpp
@@ -0,0 +1,303 @@
+#include <parsleyplank/proxy/upstream_call.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <ranges>
+
+namespace parsleyplank::proxy
+{
+
+namespace
+{
+
+// A response that belongs to an earlier request is skipped this often before
+// the connection counts as broken.
+constexpr int most_stray_responses = 3;
+
+auto into(error_code& ec)
+{
+    return asio::redirect_error(asio::use_awaitable, ec);
+}
+
+time_point now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::chrono::microseconds since(time_point from)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(now() - from);
+}
+
+// Returns whether nothing can be read: neither bytes nor the end.
+bool is_quiet(upstream_connection& connection)
+{
+    char byte = 0;
+    const auto n = ::recv(connection.socket.native_handle(), &byte, 1,
+                          MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void close(upstream_connection& connection)
+{
+    error_code ec;
+    connection.socket.close(ec);
+}
+
+// Returns the idle timeout that the response states, or nothing.
+std::optional<milliseconds> stated_idle_timeout(const http::fields& fields)
+{
+    const auto text = header_value(fields, "Keep-Alive");
+    constexpr std::string_view name = "timeout=";
+    const auto at = text.find(name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const auto digits = text.substr(at + name.size());
+    std::int64_t seconds = 0;
+    const auto parsed = std::from_chars(
+        digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec != std::errc() || seconds < 0)
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+std::string_view to_string(call_end end)
+{
+    switch (end)
+    {
+    case call_end::answered:
+        return "answered";
+    case call_end::not_sent:
+        return "not_sent";
+    case call_end::lost:
+        return "lost";
+    case call_end::timed_out:
+        return "timed_out";
+    case call_end::cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+upstream_pool::upstream_pool(asio::io_context& context, upstream_options chosen)
+    : io(context), options(chosen)
+{
+}
+
+asio::io_context& upstream_pool::context() const
+{
+    return io;
+}
+
+const upstream_options& upstream_pool::settings() const
+{
+    return options;
+}
+
+upstream_connection_ptr upstream_pool::take(const backend_server_id& server,
+                                            bool repeatable)
+{
+    auto& kept = idle[server];
+    while (!kept.empty())
+    {
+        const auto connection = kept.back();
+        const auto age = now() - connection->idle_since;
+        if (!repeatable && age > options.fresh_idle)
+            return nullptr;
+        kept.pop_back();
+        if (age < connection->idle_limit && is_quiet(*connection))
+            return connection;
+        close(*connection);
+    }
+    return nullptr;
+}
+
+void upstream_pool::put(const backend_server_id& server,
+                        upstream_connection_ptr connection)
+{
+    auto& kept = idle[server];
+    connection->idle_since = now();
+    kept.push_back(std::move(connection));
+    if (kept.size() > options.idle_per_server)
+    {
+        close(*kept.front());
+        kept.erase(kept.begin());
+    }
+}
+
+void upstream_pool::sweep()
+{
+    const auto at = now();
+    for (auto& kept : idle | std::views::values)
+        std::erase_if(kept,
+                      [&](const upstream_connection_ptr& it)
+                      {
+                          return at - it->idle_since >= it->idle_limit ||
+                                 !is_quiet(*it);
+                      });
+    std::erase_if(idle, [](const auto& it) { return it.second.empty(); });
+}
+
+void upstream_pool::drop(const backend_server_id& server)
+{
+    idle.erase(server);
+}
+
+upstream_call::upstream_call(upstream_pool& connections,
+                             steering::server_ptr to)
+    : pool(connections), target(std::move(to)), timer(connections.context())
+{
+}
+
+void upstream_call::cancel()
+{
+    interrupt(call_end::cancelled);
+}
+
+void upstream_call::interrupt(call_end reason)
+{
+    if (interrupted)
+        return;
+    interrupted = reason;
+    if (connection)
+        close(*connection);
+}
+
+call_end upstream_call::ended(call_end otherwise) const
+{
+    return interrupted.value_or(otherwise);
+}
+
+void upstream_call::arm_timer(time_point at)
+{
+    timer.expires_at(at);
+    timer.async_wait(
+        [weak = weak_from_this()](const error_code& ec)
+        {
+            const auto self = weak.lock();
+            if (!ec && self)
+                self->interrupt(call_end::timed_out);
+        });
+}
+
+asio::awaitable<bool> upstream_call::connect(call_result& result)
+{
+    const auto began = now();
+    connection = std::make_shared<upstream_connection>(pool.context());
+    error_code ec;
+    const tcp::endpoint where(
+        asio::ip::make_address(target->endpoint.address, ec),
+        target->endpoint.port);
+    if (!ec)
+        co_await connection->socket.async_connect(where, into(ec));
+    if (ec || interrupted)
+    {
+        result.end = interrupted == call_end::cancelled ? call_end::cancelled
+                                                        : call_end::not_sent;
+        result.detail = "connect: " + ec.message();
+        co_return false;
+    }
+    connection->socket.set_option(tcp::no_delay(true), ec);
+    result.connect_time = since(began);
+    co_return true;
+}
+
+// Writes in the background, because a server may respond before it has read the
+// whole body.
+void upstream_call::begin_write()
+{
+    http::async_write(connection->socket, message,
+                      [self = shared_from_this()](const error_code& ec,
+                                                  std::size_t)
+                      { self->write_done = !ec; });
+}
+
+asio::awaitable<void>
+upstream_call::read_response(call_result& result, const correlation& expected,
+                             bool head)
+{
+    for (int n = 0; n <= most_stray_responses; ++n)
+    {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(pool.settings().most_response_bytes);
+        parser.skip(head);
+        error_code ec;
+        co_await http::async_read(connection->socket, connection->buffer,
+                                  parser, into(ec));
+        if (ec || interrupted)
+        {
+            result.end = ended(call_end::lost);
+            result.detail = "read: " + ec.message();
+            co_return;
+        }
+        reusable = reusable && parser.keep_alive() && !parser.get().need_eof();
+        auto response = parser.release();
+        if (http::to_status_class(response.result()) ==
+            http::status_class::informational)
+            continue;
+        const auto echoed = header_value(response, expected.header);
+        // A response without the echo can only be taken on trust on a
+        // connection that has carried nothing else.
+        const bool ours =
+            echoed == expected.value || (echoed.empty() && !result.reused);
+        if (ours)
+        {
+            result.end = call_end::answered;
+            result.response = std::move(response);
+            co_return;
+        }
+        reusable = false;
+    }
+    result.end = call_end::lost;
+    result.detail = "only responses to other requests";
+}
+
+asio::awaitable<call_result> upstream_call::run(request_message request,
+                                                bool repeatable,
+                                                correlation expected,
+                                                time_point deadline)
+{
+    const auto self = shared_from_this();
+    call_result result;
+    message = std::move(request);
+    if (interrupted)
+    {
+        result.end = call_end::cancelled;
+        co_return result;
+    }
+    connection = pool.take(target->id, repeatable);
+    result.reused = connection != nullptr;
+    if (!connection)
+    {
+        arm_timer(std::min(deadline, now() + pool.settings().connect_timeout));
+        if (!co_await connect(result))
+            co_return result;
+    }
+    arm_timer(deadline);
+    const auto began = now();
+    begin_write();
+    co_await read_response(result, expected,
+                           message.method() == http::verb::head);
+    timer.cancel();
+    result.latency = since(began);
+    const bool keep = result.end == call_end::answered && reusable &&
+                      write_done && connection->buffer.size() == 0;
+    if (!keep)
+    {
+        close(*connection);
+        co_return result;
+    }
+    const auto& options = pool.settings();
+    const auto stated = stated_idle_timeout(result.response);
+    connection->idle_limit = stated ? *stated - options.idle_margin
+                                    : options.idle_without_statement;
+    if (connection->idle_limit > milliseconds(0))
+        pool.put(target->id, connection);
+    co_return result;
+}
+
+} // namespace parsleyplank::proxy
--- /dev/null
+++ b/src/steering/customer_share.cpp
@@ -0,0 +1,58 @@
+#include <parsleyplank/steering/customer_share.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace parsleyplank::steering
+{
+
+customer_share divide_rate(token_rate rate, tokens burst, double own_demand,
+                           std::span<const share_party> peers)
+{
+    const auto members = static_cast<double>(peers.size()) + 1;
+    const auto even = rate.value / members;
+    const auto silent = static_cast<double>(
+        std::ranges::count(peers, false, &share_party::heard));
+    const bool isolated = !peers.empty() && silent == members - 1;
+    double part = even;
+    if (!isolated)
+    {
+        const auto available = rate.value - even * silent;
+        const auto demand = std::accumulate(
+            peers.begin(), peers.end(), own_demand,
+            [](double sum, const share_party& it)
+            { return it.heard ? sum + it.demand : sum; });
+        part = demand > available
+                   ? available * own_demand / demand
+                   : own_demand + (available - demand) / (members - silent);
+    }
+    const auto fraction = rate.value > 0 ? part / rate.value : 0;
+    return {token_rate(part),
+            tokens(std::max(1.0, burst.value * fraction))};
+}
+
+void count_demand(demand_meter& meter)
+{
+    meter.counted += 1;
+}
+
+double measure_demand(demand_meter& meter, milliseconds half_life,
+                      time_point now)
+{
+    const std::chrono::duration<double> span = now - meter.measured;
+    const std::chrono::duration<double> half = half_life;
+    if (span.count() <= 0)
+        return meter.per_second;
+    const auto current = meter.counted / span.count();
+    const bool first = meter.measured == time_point{};
+    const auto kept = first ? 0 : std::exp2(-span.count() / half.count());
+    // The first span began at an unknown time and tells nothing.
+    meter.per_second =
+        first ? 0 : meter.per_second * kept + current * (1 - kept);
+    meter.counted = 0;
+    meter.measured = now;
+    return meter.per_second;
+}
+
+} // namespace parsleyplank::steering
--- /dev/null
+++ b/src/steering/server_load.cpp
@@ -0,0 +1,108 @@
+#include <parsleyplank/steering/server_load.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleyplank::steering
+{
+
+namespace
+{
+
+double decay(time_point since, milliseconds half_life, time_point now)
+{
+    const std::chrono::duration<double> age = now - since;
+    const std::chrono::duration<double> half = half_life;
+    return age.count() <= 0 ? 1 : std::exp2(-age.count() / half.count());
+}
+
+void eject(server_load& load, const health_options& options, time_point now)
+{
+    constexpr std::uint32_t most_doublings = 8;
+    const auto length =
+        options.ejection_base * (1U << std::min(load.ejections,
+                                                most_doublings));
+    load.ejected_until =
+        now + std::min<milliseconds>(length, options.ejection_longest);
+    ++load.ejections;
+}
+
+} // namespace
+
+double failure_level(const server_load& load, const health_options& options,
+                     time_point now)
+{
+    return load.failure_level *
+           decay(load.failure_at, options.failure_half_life, now);
+}
+
+bool record_result(server_load& load, request_result result,
+                   const health_options& options, time_point now)
+{
+    if (result == request_result::neutral)
+        return false;
+    const double sample = result == request_result::bad ? 1 : 0;
+    load.failure_level = failure_level(load, options, now);
+    load.failure_level += (sample - load.failure_level) *
+                          options.failure_weight;
+    load.failure_at = now;
+    if (result == request_result::good)
+    {
+        if (load.failure_level < options.ejection_level / 2)
+            load.ejections = 0;
+        return false;
+    }
+    // Directly after an ejection one more failure shows that it still fails.
+    const bool returned =
+        load.ejections > 0 && now >= load.ejected_until &&
+        now - load.ejected_until < options.ejection_longest;
+    if (now < load.ejected_until ||
+        (load.failure_level < options.ejection_level && !returned))
+        return false;
+    eject(load, options, now);
+    return true;
+}
+
+void record_report(server_load& load, const reported_load& report,
+                   time_point now)
+{
+    const auto own = static_cast<double>(load.in_flight.size());
+    load.others = std::max(0.0, report.running + report.waiting - own);
+    load.others_at = now;
+}
+
+double load_of(const server_load& load, const health_options& options,
+               time_point now)
+{
+    return static_cast<double>(load.in_flight.size()) +
+           load.others * decay(load.others_at, options.report_half_life, now);
+}
+
+double slowness_of(const server_load& load, const health_options& options,
+                   time_point now)
+{
+    return 1 + (load.slowness - 1) *
+                   decay(load.slowness_at, options.slowness_half_life, now);
+}
+
+bool is_silent(const server_load& load, const health_options& options,
+               time_point now)
+{
+    return std::ranges::any_of(
+        load.in_flight,
+        [&](const auto& it)
+        {
+            const auto& [sent, expected] = it.second;
+            const auto bound = std::max<std::chrono::duration<double>>(
+                options.least_silence, expected * options.silence_factor);
+            return load.heard_at < sent && now - sent > bound;
+        });
+}
+
+bool is_ejected(const server_load& load, const health_options& options,
+                time_point now)
+{
+    return now < load.ejected_until || is_silent(load, options, now);
+}
+
+} // namespace parsleyplank::steering
--- /dev/null
+++ b/src/steering/server_ranking.cpp
@@ -0,0 +1,182 @@
+#include <parsleyplank/core/rendezvous.hpp>
+#include <parsleyplank/steering/server_ranking.hpp>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <vector>
+
+namespace parsleyplank::steering
+{
+
+namespace
+{
+
+double to_ms(std::chrono::microseconds span)
+{
+    return static_cast<double>(span.count()) / 1'000;
+}
+
+milliseconds from_ms(double ms)
+{
+    return milliseconds(static_cast<std::int64_t>(ms));
+}
+
+// Marks the servers that keep the object warm: the first of each failure domain
+// in rendezvous order. All count as warm without an affinity key.
+std::vector<bool> mark_copies(std::span<const candidate> candidates,
+                              std::string_view key, std::size_t copies)
+{
+    std::vector<bool> marks(candidates.size(), key.empty());
+    if (key.empty())
+        return marks;
+    std::map<std::string_view,
+             std::vector<std::pair<std::uint64_t, std::size_t>>>
+        domains;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        const auto& server = *candidates[i].server;
+        domains[server.domain.value].emplace_back(
+            ~rendezvous_weight(key, server.id.value), i);
+    }
+    for (auto& [domain, order] : domains)
+    {
+        const auto n = std::min(copies, order.size());
+        std::ranges::partial_sort(order,
+                                  order.begin() +
+                                      static_cast<std::ptrdiff_t>(n));
+        for (std::size_t i = 0; i < n; ++i)
+            marks[order[i].second] = true;
+    }
+    return marks;
+}
+
+double round_trip_ms(const candidate& it, const ranking_options& options)
+{
+    if (it.load->round_trip)
+        return to_ms(*it.load->round_trip);
+    return it.away == distance::other_region
+               ? to_ms(options.remote_round_trip)
+               : to_ms(options.region_round_trip);
+}
+
+double crossing_ms(const candidate& it, double kilobytes,
+                   const ranking_options& options)
+{
+    if (it.away == distance::same_domain)
+        return 0;
+    auto per_kb = to_ms(options.domain_crossing_per_kb);
+    if (it.away == distance::other_region)
+        per_kb += to_ms(options.region_crossing_per_kb);
+    return kilobytes * per_kb;
+}
+
+struct priced
+{
+    ranked_server choice;
+    double cost = 0;
+};
+
+priced price(const candidate& it, bool warm, const service_times& times,
+             const ranking_options& options, const health_options& health,
+             time_point now)
+{
+    const double factor =
+        times.cold_factor > 0 ? times.cold_factor : options.cold_object_factor;
+    const auto slowness = slowness_of(*it.load, health, now);
+    double work = times.warm_ms * slowness * (warm ? 1 : factor);
+    if (it.cold)
+        work *= options.cold_server_factor;
+    const auto slots = static_cast<double>(std::max(1U, it.server->slots));
+    const auto ahead = load_of(*it.load, health, now) + 1 - slots;
+    const auto queue = std::max(0.0, ahead / slots);
+    // Those ahead are warm requests for the most part.
+    const auto waiting = queue * times.warm_ms * slowness;
+    const auto expected = round_trip_ms(it, options) + work + waiting;
+    const auto risk = failure_level(*it.load, health, now);
+    return {{0, from_ms(expected), from_ms(waiting), warm, queue},
+            expected + crossing_ms(it, times.kilobytes, options) +
+                risk * options.failure_cost * times.warm_ms};
+}
+
+} // namespace
+
+service_times initial_times(milliseconds target_latency)
+{
+    // Half of the objective: a service that needs more would miss it often.
+    return {static_cast<double>(target_latency.count()) / 2, 0, 4};
+}
+
+std::optional<ranked_server>
+choose_server(std::span<const candidate> candidates,
+              std::string_view affinity_key, const service_times& times,
+              const ranking_options& options, const health_options& health,
+              time_point now)
+{
+    const auto marks = mark_copies(candidates, affinity_key, options.copies);
+    std::vector<std::size_t> usable;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        if (!is_ejected(*candidates[i].load, health, now))
+            usable.push_back(i);
+    if (usable.empty())
+    {
+        usable.resize(candidates.size());
+        std::iota(usable.begin(), usable.end(), std::size_t(0));
+    }
+    std::optional<priced> best;
+    for (const auto i : usable)
+    {
+        auto it = price(candidates[i], marks[i], times, options, health, now);
+        it.choice.position = i;
+        if (!best || it.cost < best->cost)
+            best = it;
+    }
+    if (!best)
+        return std::nullopt;
+    return best->choice;
+}
+
+void record_latency(service_times& times, server_load& load,
+                    const ranked_server& chosen,
+                    std::chrono::microseconds latency,
+                    const ranking_options& options,
+                    const health_options& health, time_point now)
+{
+    load.slowness = slowness_of(load, health, now);
+    load.slowness_at = now;
+    const auto trip =
+        load.round_trip.value_or(std::chrono::microseconds::zero());
+    const auto work =
+        std::max(1.0, to_ms(latency - trip)) / (1 + chosen.queue_factor);
+    const auto weight = options.sample_weight;
+    if (chosen.warm)
+    {
+        constexpr double least_slowness = 0.3;
+        constexpr double most_slowness = 20;
+        const auto relative = work / std::max(1.0, times.warm_ms);
+        load.slowness += (relative - load.slowness) * weight;
+        load.slowness =
+            std::clamp(load.slowness, least_slowness, most_slowness);
+        // A slow server must not make all others look fast.
+        const auto own = work / load.slowness;
+        times.warm_ms += (own - times.warm_ms) * weight;
+        return;
+    }
+    constexpr double most_factor = 10;
+    const auto factor =
+        std::clamp(work / std::max(1.0, times.warm_ms * load.slowness), 1.0,
+                   most_factor);
+    const auto known =
+        times.cold_factor > 0 ? times.cold_factor : options.cold_object_factor;
+    times.cold_factor = known + (factor - known) * weight;
+}
+
+void record_size(service_times& times, std::size_t bytes,
+                 const ranking_options& options)
+{
+    constexpr double bytes_per_kilobyte = 1'000;
+    const auto kilobytes = static_cast<double>(bytes) / bytes_per_kilobyte;
+    times.kilobytes += (kilobytes - times.kilobytes) * options.sample_weight;
+}
+
+} // namespace parsleyplank::steering
--- /dev/null
+++ b/src/steering/server_ranking.hpp
@@ -0,0 +1,107 @@
+#ifndef PARSLEYPLANK_STEERING_SERVER_RANKING_HPP
+#define PARSLEYPLANK_STEERING_SERVER_RANKING_HPP
+
+// Chooses the backend server of a request by its expected completion time.
+// Requests for one object meet few servers of a failure domain, in rendezvous
+// order, because a server works several times faster on an object that it has
+// handled recently. A request leaves those servers, its failure domain or its
+// region only if waiting there costs more.
+
+#include <parsleyplank/steering/server_load.hpp>
+#include <parsleyplank/steering/server_registry.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace parsleyplank::steering
+{
+
+struct ranking_options
+{
+    // Servers of one failure domain that keep an object warm.
+    std::size_t copies = 2;
+    // Service time on a cold object relative to a warm one, until learned.
+    double cold_object_factor = 3.0;
+    // Service time of a server that is itself cold, relative to a warm one.
+    double cold_server_factor = 2.0;
+    // Weight of one sample in the averages of service times.
+    double sample_weight = 0.1;
+    // Assumed round trips until a connection has been made.
+    std::chrono::microseconds region_round_trip{2'000};
+    std::chrono::microseconds remote_round_trip{100'000};
+    // Cost in expected latency of each kilobyte that crosses a failure domain
+    // or a region: links between them are shared and narrow.
+    std::chrono::microseconds domain_crossing_per_kb{1'000};
+    std::chrono::microseconds region_crossing_per_kb{1'000};
+    // Cost of a failure average of 1, as a multiple of the service time.
+    double failure_cost = 4.0;
+};
+
+// Service times of one route at one service, in milliseconds.
+struct service_times
+{
+    double warm_ms = 0;
+    // Relative to warm_ms; 0 until learned.
+    double cold_factor = 0;
+    // Average size of request and response together.
+    double kilobytes = 4;
+};
+
+// How far a server is from this instance.
+enum class distance
+{
+    same_domain,
+    same_region,
+    other_region
+};
+
+struct candidate
+{
+    server_ptr server;
+    server_load* load = nullptr;
+    distance away = distance::same_domain;
+    // Whether the server is in its warm-up time.
+    bool cold = false;
+};
+
+struct ranked_server
+{
+    // Position among the candidates.
+    std::size_t position = 0;
+    // Expected time to the response.
+    milliseconds expected{0};
+    // Part of it that is spent waiting for a slot.
+    milliseconds queueing{0};
+    // Whether the server is one of those that keep the object warm.
+    bool warm = true;
+    // Requests ahead in the queue, relative to the slots.
+    double queue_factor = 0;
+};
+
+// Returns the initial service times of a route.
+service_times initial_times(milliseconds target_latency);
+
+// Returns the cheapest candidate, or nothing if there is none. Ejected servers
+// count only if all are ejected. The affinity key may be empty.
+std::optional<ranked_server>
+choose_server(std::span<const candidate> candidates,
+              std::string_view affinity_key, const service_times& times,
+              const ranking_options& options, const health_options& health,
+              time_point now);
+
+// Learns from the time that the chosen server took.
+void record_latency(service_times& times, server_load& load,
+                    const ranked_server& chosen,
+                    std::chrono::microseconds latency,
+                    const ranking_options& options,
+                    const health_options& health, time_point now);
+
+// Learns the size of a request with its response.
+void record_size(service_times& times, std::size_t bytes,
+                 const ranking_options& options);
+
+} // namespace parsleyplank::steering
+
+#endif
--- /dev/null
+++ b/src/steering/traffic_config.hpp
@@ -0,0 +1,108 @@
+#ifndef PARSLEYPLANK_STEERING_TRAFFIC_CONFIG_HPP
+#define PARSLEYPLANK_STEERING_TRAFFIC_CONFIG_HPP
+
+// One version of the traffic configuration: routes, services and customers as
+// the operator wrote them. Plain data; threads share it as
+// std::shared_ptr<const traffic_config>.
+
+#include <parsleyplank/core/clock.hpp>
+#include <parsleyplank/core/ids.hpp>
+#include <parsleyplank/core/units.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace parsleyplank::steering
+{
+
+// Rank of a route or customer; 0 is served first.
+using priority_rank = std::uint32_t;
+
+// Whether a request may reach a backend server more than once.
+enum class repeat_rule
+{
+    idempotent,  // may run any number of times
+    at_most_once // must not be sent again unless it surely did not run
+};
+
+struct weighted_service
+{
+    service_id service;
+    // Relative share of the route's requests.
+    double weight = 1;
+};
+
+struct traffic_route
+{
+    route_id id;
+    // Value of the Host header without a port.
+    std::string host;
+    // Begins and ends with a slash; the longest match wins.
+    std::string path_prefix;
+    repeat_rule repeat = repeat_rule::at_most_once;
+    // Large bodies are expected.
+    bool large_body = false;
+    std::vector<weighted_service> services;
+    // Longest time that a caller is kept waiting.
+    milliseconds timeout{10'000};
+    // Latency objective of a response.
+    milliseconds target_latency{1'000};
+    // Most backend servers that one request is sent to.
+    std::uint32_t max_attempts = 1;
+    priority_rank priority = 0;
+    // Open routes need no API key.
+    bool open = false;
+    // Requests with the same affinity key should meet the same servers.
+    bool affinity = false;
+    // Regions that may run the request; empty means all.
+    std::vector<region_id> allowed_regions;
+};
+
+struct traffic_service
+{
+    service_id id;
+    // Path of the health check.
+    std::string health_path;
+    // Connections that one backend server accepts from all callers.
+    std::uint32_t max_connections = 100;
+    // Time for which a started server stays cold.
+    milliseconds warmup{0};
+    // Requests per second that a cold server bears, from the whole fleet.
+    double warmup_rate = 0;
+};
+
+struct traffic_customer
+{
+    customer_id id;
+    std::vector<std::string> api_keys;
+    priority_rank priority = 0;
+    // Fleet-wide limit; a rate of 0 means no limit.
+    token_rate rate;
+    tokens burst;
+    // Regions that may run its requests; empty means all.
+    std::vector<region_id> allowed_regions;
+};
+
+struct caller_limits
+{
+    std::size_t max_header_bytes = 16'384;
+    std::size_t max_body_bytes = 67'108'864;
+    milliseconds header_timeout{3'000};
+    milliseconds idle_timeout{15'000};
+};
+
+struct traffic_config
+{
+    epoch version;
+    std::vector<traffic_route> routes;
+    std::vector<traffic_service> services;
+    std::vector<traffic_customer> customers;
+    // False while no customer is configured: requests then need no key.
+    bool keys_required = false;
+    caller_limits limits;
+};
+
+} // namespace parsleyplank::steering
+
+#endif
--- a/src/store/http_call.cpp
+++ b/src/store/http_call.cpp
@@ -1,6 +1,9 @@
 #include <parsleyplank/store/http_call.hpp>
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <utility>
@@ -28,6 +31,16 @@
     return size * n;
 }
 
+int set_user_timeout(void* data, curl_socket_t socket, curlsocktype /*use*/)
+{
+    const auto& settings = *static_cast<const http_settings*>(data);
+    const auto ms =
+        static_cast<unsigned int>(settings.silence_timeout.count());
+    const bool set =
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms) == 0;
+    return set ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
+}
+
 void start_libcurl()
 {
     static const CURLcode code = curl_global_init(CURL_GLOBAL_DEFAULT);
@@ -110,7 +123,16 @@
     set(CURLOPT_WRITEFUNCTION, &append_body);
     set(CURLOPT_WRITEDATA, static_cast<void*>(&body));
     set(CURLOPT_ERRORBUFFER, message.data());
-    add_header("Content-Type: application/octet-stream");
+    add_header(("Content-Type: " + settings.content_type).c_str());
+    if (settings.silence_timeout > milliseconds(0))
+    {
+        // One probe a second; the connection breaks when none is answered.
+        set(CURLOPT_TCP_KEEPALIVE, 1L);
+        set(CURLOPT_TCP_KEEPIDLE, 1L);
+        set(CURLOPT_TCP_KEEPINTVL, 1L);
+        set(CURLOPT_SOCKOPTFUNCTION, &set_user_timeout);
+        set(CURLOPT_SOCKOPTDATA, static_cast<void*>(&settings));
+    }
     // Without this header Pistache responds with "Connection: Close".
     add_header("Connection: keep-alive");
     // Pistache does not respond to this header, so libcurl would wait 1 s.
@@ -164,12 +186,12 @@
     return self->perform(path, self->settings.call_timeout + extra_wait);
 }
 
-http_response http_call::get(const std::string& path)
+http_response http_call::get(const std::string& path, milliseconds extra_wait)
 {
     self->set(CURLOPT_FRESH_CONNECT, 0L);
     self->set(CURLOPT_FORBID_REUSE, 0L);
     self->set(CURLOPT_HTTPGET, 1L);
-    return self->perform(path, self->settings.call_timeout);
+    return self->perform(path, self->settings.call_timeout + extra_wait);
 }
 
 const std::string& http_call::authority() const
--- a/src/store/http_call.hpp
+++ b/src/store/http_call.hpp
@@ -25,6 +25,11 @@
     milliseconds call_timeout{2'000};
     // A larger response is an error. Bounds memory against a faulty platform.
     std::size_t max_response_bytes = 64'000'000;
+    std::string content_type = "application/octet-stream";
+    // Time without any sign of the platform after which a connection counts as
+    // broken, found by keep-alive probes; 0 sends none. A call that waits long
+    // would not notice otherwise.
+    milliseconds silence_timeout{0};
 };
 
 struct http_response
@@ -69,9 +74,10 @@
     http_response post(const std::string& path, const std::string& body,
                        connection_use use, milliseconds extra_wait);
 
-    // Reads a resource by GET, over a reused connection. Throws
-    // transfer_error.
-    http_response get(const std::string& path);
+    // Reads a resource by GET, over a reused connection. Waits for the call
+    // timeout plus the extra wait. Throws transfer_error.
+    http_response get(const std::string& path,
+                      milliseconds extra_wait = milliseconds(0));
 
     // Returns "ADDRESS:PORT", for messages.
     const std::string& authority() const;
--- a/src/entry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -1,10 +1,10 @@
-#include <parsleyplank/entry/metrics.hpp>
+#include <parsleyplank/telemetry/metrics.hpp>
 
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
 
-namespace parsleyplank::entry
+namespace parsleyplank::telemetry
 {
 
 namespace
@@ -106,4 +106,4 @@
     return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
-} // namespace parsleyplank::entry
+} // namespace parsleyplank::telemetry
--- a/src/entry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -1,7 +1,7 @@
-#ifndef PARSLEYPLANK_ENTRY_METRICS_HPP
-#define PARSLEYPLANK_ENTRY_METRICS_HPP
+#ifndef PARSLEYPLANK_TELEMETRY_METRICS_HPP
+#define PARSLEYPLANK_TELEMETRY_METRICS_HPP
 
-// Metrics of an entry process in the Prometheus text format. Labels never hold
+// Metrics of a process in the Prometheus text format. Labels never hold
 // an API key or an idempotency key.
 
 #include <parsleyplank/core/ids.hpp>
@@ -16,7 +16,7 @@
 #include <map>
 #include <string>
 
-namespace parsleyplank::entry
+namespace parsleyplank::telemetry
 {
 
 // Any thread may call.
@@ -54,6 +54,6 @@
     prometheus::Counter& lookups;
 };
 
-} // namespace parsleyplank::entry
+} // namespace parsleyplank::telemetry
 
 #endif
