--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -206,6 +206,7 @@
                 refuse(refusal_reason::no_capacity, return_after);
             co_return;
         }
+        rank = placed->rank;
         const auto predicted =
             std::chrono::duration_cast<milliseconds>(now() - ex->received) +
             placed->rank.expected;
@@ -346,6 +347,7 @@
                                                proxy::call_result& result)
 {
     last_detail = result.detail;
+    server_latency = result.latency;
     if (result.end == proxy::call_end::answered)
         return conclude_answer(placed, result);
     return conclude_failure(placed, result);
@@ -472,9 +474,15 @@
             << " route=" << (route == nullptr ? "-" : route->id.value)
             << " customer=" << (customer == nullptr ? "-" : customer->id.value)
             << " service=" << (service.value.empty() ? "-" : service.value)
+            << " object="
+            << header_value(ex->request,
+                            context.platform.headers.affinity_key)
             << " server=" << (tried.empty() ? "-" : tried.back().value)
             << " sends=" << sends << " status=" << status << " outcome="
             << outcome << " reason=" << reason << " ms=" << took.count() / 1'000
+            << " server_ms=" << server_latency.count() / 1'000
+            << " expected_ms=" << rank.expected.count()
+            << " queue=" << rank.queue_factor << " warm=" << rank.warm
             << " config="
             << (routing ? routing->config->version.value : 0)
             << " state_age_ms=" << state_age.count()
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -77,6 +77,9 @@
     bool token_taken = false;
     std::shared_ptr<proxy::upstream_call> call;
     std::string last_detail;
+    // What the last choice of a server went by.
+    steering::ranked_server rank;
+    std::chrono::microseconds server_latency{0};
 };
 
 } // namespace parsleyplank::edge
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -137,8 +137,13 @@
 choose_among(traffic_state& state, const placement_request& request,
              std::span<const steering::candidate> candidates, time_point now)
 {
+    steering::object_affinity object;
+    if (request.route.affinity)
+        object.key = request.affinity_key;
+    if (request.route.large_body)
+        object.group = steering::object_group::domain;
     const auto chosen = steering::choose_server(
-        candidates, request.route.affinity ? request.affinity_key : "",
+        candidates, object,
         times_of(state, request.route, request.service), state.options.ranking,
         state.options.health, now);
     if (!chosen)
--- a/src/steering/server_ranking.cpp
+++ b/src/steering/server_ranking.cpp
@@ -22,24 +22,29 @@
     return milliseconds(static_cast<std::int64_t>(ms));
 }
 
-// Marks the servers that keep the object warm: the first of each failure domain
-// in rendezvous order. All count as warm without an affinity key.
+// Marks the servers that keep the object warm: the first of each group in
+// rendezvous order. All count as warm without an affinity key.
 std::vector<bool> mark_copies(std::span<const candidate> candidates,
-                              std::string_view key, std::size_t copies)
+                              const object_affinity& object,
+                              std::size_t copies)
 {
-    std::vector<bool> marks(candidates.size(), key.empty());
-    if (key.empty())
+    std::vector<bool> marks(candidates.size(), object.key.empty());
+    if (object.key.empty())
         return marks;
     std::map<std::string_view,
              std::vector<std::pair<std::uint64_t, std::size_t>>>
-        domains;
+        groups;
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
         const auto& server = *candidates[i].server;
-        domains[server.domain.value].emplace_back(
-            ~rendezvous_weight(key, server.id.value), i);
+        const std::string_view group = object.group == object_group::region
+                                           ? server.region.value
+                                           : server.domain.value;
+        groups[group].emplace_back(~rendezvous_weight(object.key,
+                                                      server.id.value),
+                                   i);
     }
-    for (auto& [domain, order] : domains)
+    for (auto& [group, order] : groups)
     {
         const auto n = std::min(copies, order.size());
         std::ranges::partial_sort(order,
@@ -84,8 +89,7 @@
     const auto slots = static_cast<double>(std::max(1U, it.server->slots));
     const auto ahead = load_of(*it.load, health, now) + 1 - slots;
     const auto queue = std::max(0.0, ahead / slots);
-    // Those ahead are warm requests for the most part.
-    const auto waiting = queue * times.warm_ms * slowness;
+    const auto waiting = queue * times.mean_ms * slowness;
     const auto expected = round_trip_ms(it, options) + work + waiting;
     const auto risk = failure_level(*it.load, health, now);
     return {0,
@@ -102,16 +106,20 @@
 service_times initial_times(milliseconds target_latency)
 {
     // Half of the objective: a service that needs more would miss it often.
-    return {static_cast<double>(target_latency.count()) / 2, 0, 4};
+    const auto half = static_cast<double>(target_latency.count()) / 2;
+    service_times times;
+    times.warm_ms = half;
+    times.mean_ms = half;
+    return times;
 }
 
 std::optional<ranked_server>
 choose_server(std::span<const candidate> candidates,
-              std::string_view affinity_key, const service_times& times,
+              const object_affinity& object, const service_times& times,
               const ranking_options& options, const health_options& health,
               time_point now)
 {
-    const auto marks = mark_copies(candidates, affinity_key, options.copies);
+    const auto marks = mark_copies(candidates, object, options.copies);
     std::vector<std::size_t> usable;
     for (std::size_t i = 0; i < candidates.size(); ++i)
         if (!is_ejected(*candidates[i].load, health, now))
@@ -145,17 +153,21 @@
     const auto work =
         std::max(1.0, to_ms(latency - trip)) / (1 + chosen.queue_factor);
     const auto weight = options.sample_weight;
+    times.mean_ms += (work / load.slowness - times.mean_ms) * weight;
     if (chosen.warm)
     {
         constexpr double least_slowness = 0.3;
         constexpr double most_slowness = 20;
-        const auto relative = work / std::max(1.0, times.warm_ms);
-        load.slowness += (relative - load.slowness) * weight;
-        load.slowness =
-            std::clamp(load.slowness, least_slowness, most_slowness);
+        const auto usual = std::max(1.0, times.warm_ms);
+        load.slowness = std::clamp(
+            load.slowness * (work > usual * load.slowness
+                                 ? options.server_quantile_up
+                                 : options.server_quantile_down),
+            least_slowness, most_slowness);
         // A slow server must not make all others look fast.
-        const auto own = work / load.slowness;
-        times.warm_ms += (own - times.warm_ms) * weight;
+        times.warm_ms *= work / load.slowness > times.warm_ms
+                             ? options.quantile_up
+                             : options.quantile_down;
         return;
     }
     constexpr double most_factor = 10;
--- a/src/steering/server_ranking.hpp
+++ b/src/steering/server_ranking.hpp
@@ -2,8 +2,7 @@
 #define PARSLEYPLANK_STEERING_SERVER_RANKING_HPP
 
 // Chooses the backend server of a request by its expected completion time.
-// Requests for one object meet few servers of a failure domain, in rendezvous
-// order, because a server works several times faster on an object that it has
+// Requests for one object meet one server of a region, by rendezvous order, because a server works several times faster on an object that it has
 // handled recently. A request leaves those servers, its failure domain or its
 // region only if waiting there costs more.
 
@@ -20,7 +19,7 @@
 
 struct ranking_options
 {
-    // Servers of one failure domain that keep an object warm.
+    // Servers of one group that keep an object warm.
     std::size_t copies = 1;
     // Service time on a cold object relative to a warm one, until learned.
     double cold_object_factor = 3.0;
@@ -28,6 +27,13 @@
     double cold_server_factor = 2.0;
     // Weight of one sample in the averages of service times.
     double sample_weight = 0.1;
+    // Factors by which one sample above or below moves a quantile. Their
+    // logarithms are as 3 to 7, which finds the 30% quantile.
+    double quantile_up = 1.03;
+    double quantile_down = 0.933;
+    // The same for a single server, which has fewer samples.
+    double server_quantile_up = 1.15;
+    double server_quantile_down = 0.72;
     // Assumed round trips until a connection has been made.
     std::chrono::microseconds region_round_trip{2'000};
     std::chrono::microseconds remote_round_trip{100'000};
@@ -39,11 +45,31 @@
     double failure_cost = 4.0;
 };
 
+// Servers among which objects are divided. A region's servers have to warm up an
+// object once and keep fewer objects each; within a failure domain no bytes
+// cross to another one.
+enum class object_group
+{
+    region,
+    domain
+};
+
+struct object_affinity
+{
+    // Names the object; empty if the route has no affinity.
+    std::string_view key;
+    object_group group = object_group::region;
+};
+
 // Service times of one route at one service, in milliseconds.
 struct service_times
 {
+    // Time that warm requests take: a low quantile, because some requests at the
+    // server that keeps an object still find it cold.
     double warm_ms = 0;
-    // Relative to warm_ms; 0 until learned.
+    // Average over warm and cold requests: what those ahead in a queue take.
+    double mean_ms = 0;
+    // Of a cold request relative to warm_ms; 0 until learned.
     double cold_factor = 0;
     // Average size of request and response together.
     double kilobytes = 4;
@@ -87,10 +113,10 @@
 service_times initial_times(milliseconds target_latency);
 
 // Returns the cheapest candidate, or nothing if there is none. Ejected servers
-// count only if all are ejected. The affinity key may be empty.
+// count only if all are ejected.
 std::optional<ranked_server>
 choose_server(std::span<const candidate> candidates,
-              std::string_view affinity_key, const service_times& times,
+              const object_affinity& object, const service_times& times,
               const ranking_options& options, const health_options& health,
               time_point now);
 
