Start moves between regions by capacity, divide quotas by shared demands, act on removals in time

Change: the part that goes abroad starts with the slots that the region lacks; instances divide by the demand that their peers know; removals are held only around an outage and end on time.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -20,8 +20,6 @@
 // Keys of the instances themselves.
 constexpr std::string_view member_prefix = "steer/members/";
 constexpr std::string_view record_prefix = "steer/rollouts/";
-// As many servers gone at once are more likely lapsed than stopped.
-constexpr std::size_t many_removals = 3;
 
 time_point now()
 {
@@ -68,7 +66,7 @@
                              traffic_plane& plane, control_options with)
     : config(chosen), platform(adapted), traffic(plane), options(with),
       log(part_logger("control")), io(1), signals(io, SIGTERM, SIGINT, SIGHUP),
-      tick_timer(io),
+      tick_timer(io), removal_timer(io),
       peers(io, udp::endpoint(proxy::asio::ip::make_address(config.address),
                               config.peer_port)),
       self(describe_self(config)), lease(std::make_shared<store::lease_id>())
@@ -129,10 +127,10 @@
 
 // Registrations may have lapsed while the store was away or could not be
 // reached by the servers.
-time_point control_plane::removal_time(std::size_t removed) const
+time_point control_plane::removal_time() const
 {
     const auto at = now();
-    const bool doubtful = removed >= many_removals || store_away ||
+    const bool doubtful = store_away ||
                           (lost_at != time_point{} &&
                            at - lost_at < options.outage_memory);
     return doubtful ? at + options.removal_hold : at;
@@ -196,7 +194,7 @@
     for (const auto& id : servers.servers | std::views::keys)
         if (!present.contains(platform.layout.server_prefix + id.value))
             missing.push_back(id);
-    const auto when = removal_time(missing.size());
+    const auto when = removal_time();
     for (const auto& id : missing)
         steering::remove_server(servers, id, when, now());
     for (const auto& id : fleet.peers | std::views::keys)
@@ -220,6 +218,7 @@
     LOG4CPLUS_INFO(log, "event=listed keys=" << all.entries.size()
                                              << " revision="
                                              << all.store_revision.value);
+    settle_removals_in_time();
     publish();
 }
 
@@ -236,9 +235,7 @@
         return it.key_revision == revision(0) &&
                it.key.starts_with(platform.layout.server_prefix);
     };
-    const auto removed = static_cast<std::size_t>(
-        std::ranges::count_if(changes.entries, is_removed_server));
-    const auto when = removal_time(removed);
+    const auto when = removal_time();
     for (const auto& it : changes.entries)
     {
         if (is_removed_server(it))
@@ -255,8 +252,27 @@
         else
             take_entry(it);
     }
-    if (!changes.entries.empty())
-        publish();
+    if (changes.entries.empty())
+        return;
+    settle_removals_in_time();
+    publish();
+}
+
+// Carries out held removals when they are due.
+void control_plane::settle_removals_in_time()
+{
+    if (servers.leaving.empty())
+        return;
+    const auto next = std::ranges::min(servers.leaving | std::views::values);
+    removal_timer.expires_at(next);
+    removal_timer.async_wait(
+        [this](const proxy::error_code& ec)
+        {
+            if (ec || !steering::settle_removals(servers, now()))
+                return;
+            publish();
+            settle_removals_in_time();
+        });
 }
 
 void control_plane::take_entry(const store::entry& it)
@@ -492,10 +508,9 @@
 
 void control_plane::step(const traffic_report& report)
 {
-    last_report = report;
+    shared_demands = std::exchange(last_report, report).demands;
     keep_registered();
     forget_gone(fleet, options.fleet, now());
-    steering::settle_removals(servers, now());
     std::vector<instance_id> ids{self.id};
     for (const auto* peer : live_peers(fleet, options.fleet, now()))
         ids.push_back(peer->record.id);
@@ -608,10 +623,12 @@
             parties.push_back({it == demands.end() ? 0 : it->per_second,
                                is_heard(peer, options.fleet, now())});
         }
-        const auto own = last_report.demands.find(customer.id);
+        // A demand that the peers do not know yet would be added to theirs while
+        // all grow at once.
+        const auto own = shared_demands.find(customer.id);
         next.shares[customer.id] = steering::divide_rate(
             customer.rate, customer.burst,
-            own == last_report.demands.end() ? 0 : own->second, parties);
+            own == shared_demands.end() ? 0 : own->second, parties);
     }
 }
 
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -75,7 +75,8 @@
     void take_server(const store::entry& it);
     void store_heard();
     void store_lost(const std::string& problem);
-    time_point removal_time(std::size_t removed) const;
+    time_point removal_time() const;
+    void settle_removals_in_time();
 
     // Finds out whether the watch has missed changes.
     void poll_revision();
@@ -112,6 +113,7 @@
     proxy::asio::io_context io;
     proxy::asio::signal_set signals;
     proxy::asio::steady_timer tick_timer;
+    proxy::asio::steady_timer removal_timer;
     proxy::asio::ip::udp::socket peers;
     proxy::asio::ip::udp::endpoint sender;
     std::array<char, 65'536> datagram{};
@@ -124,6 +126,9 @@
     rollout_table rollouts;
     fleet_view fleet;
     traffic_report last_report;
+    // Demands of the digest before the last: what all peers know of this
+    // instance by now.
+    std::unordered_map<customer_id, double> shared_demands;
     member_record self;
     std::uint64_t digest_number = 0;
     bool publish_pending = false;
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -133,6 +133,29 @@
         candidates.erase(others, candidates.end());
 }
 
+// Starts with the part of this region in the instances, which are spread like
+// the callers, and in the slots of all services.
+steering::region_shift start_shift(const traffic_state& state, time_point now)
+{
+    const auto& own = state.config.region;
+    double slots = 0;
+    double own_slots = 0;
+    for (const auto& servers : state.snapshot->servers | std::views::values)
+        for (const auto& it : servers)
+        {
+            slots += it->slots;
+            own_slots += it->region == own ? it->slots : 0;
+        }
+    const auto& members = state.snapshot->members;
+    const auto own_members = static_cast<double>(
+        std::ranges::count(members, own, &steering::fleet_member::region));
+    if (slots <= 0 || members.empty())
+        return steering::start_shift(0, 0, now);
+    return steering::start_shift(own_members /
+                                     static_cast<double>(members.size()),
+                                 own_slots / slots, now);
+}
+
 std::optional<server_placement>
 choose_among(traffic_state& state, const placement_request& request,
              std::span<const steering::candidate> candidates, time_point now)
@@ -221,7 +244,9 @@
     if (!near || !far)
         return near ? near : far;
     const auto benefit = near->rank.cost_ms - far->rank.cost_ms;
-    if (steering::goes_abroad(state.shift, benefit, state.options.shift, now))
+    if (!state.shift)
+        state.shift = start_shift(state, now);
+    if (steering::goes_abroad(*state.shift, benefit, state.options.shift, now))
         return far;
     auto kept = near;
     kept->kept_home = benefit > 0;
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -55,7 +55,8 @@
     // Part of the next request that the target version is due.
     std::unordered_map<service_id, double> target_credit;
     tally_table tallies;
-    steering::region_shift shift;
+    // Set with the first request.
+    std::optional<steering::region_shift> shift;
     std::mt19937_64 rng;
     std::uint64_t next_call = 1;
 };
--- a/src/steering/region_shift.cpp
+++ b/src/steering/region_shift.cpp
@@ -43,20 +43,22 @@
 
 } // namespace
 
+region_shift start_shift(double callers_part, double slots_part, time_point now)
+{
+    region_shift shift;
+    shift.updated = now;
+    if (callers_part > 0)
+        shift.allowed = std::max(0.0, 1 - slots_part / callers_part);
+    return shift;
+}
+
 bool goes_abroad(region_shift& shift, double benefit_ms,
                  const shift_options& options, time_point now)
 {
-    if (shift.started == time_point{})
-        shift.started = now;
     age(shift, options, now);
     const bool wants = benefit_ms > 0;
     shift.all += 1;
     shift.wanting += wants ? 1 : 0;
-    if (now - shift.started < options.free_time)
-    {
-        shift.allowed = part(shift.wanting, shift.all);
-        return wants;
-    }
     shift.due = std::min(shift.due + shift.allowed,
                          2 * options.due_before_forced);
     const bool goes = shift.due >= needed(benefit_ms, options);
--- a/src/steering/region_shift.hpp
+++ b/src/steering/region_shift.hpp
@@ -18,9 +18,6 @@
     double change_per_s = 0.06;
     // The wanted part is an average over about this time.
     milliseconds memory{1'000};
-    // After a start requests move freely for this time: there is nothing yet
-    // that they could differ from.
-    milliseconds free_time{1'500};
     // Requests that are due to go before one that loses by it is sent in their
     // place; twice as many before one that loses more than the tolerable loss.
     double due_before_forced = 2;
@@ -36,10 +33,16 @@
     double allowed = 0;
     // Requests that are due to go.
     double due = 0;
-    time_point started{};
     time_point updated{};
 };
 
+// Returns the state at a start, before any request shows what is wanted: the
+// part of the region's requests for which it has no servers if all servers are
+// used alike. The parts are those of the region in all callers and in all
+// slots.
+region_shift start_shift(double callers_part, double slots_part,
+                         time_point now);
+
 // Returns whether a request goes to another region, and counts it.
 bool goes_abroad(region_shift& shift, double benefit_ms,
                  const shift_options& options, time_point now);
