Move objects instead of requests between regions, and find free slots before refusing

Cause: single requests of all objects went abroad, evicted there what was warm and ran cold themselves; regions with room sent to the one that lacks it, whose load they seldom hear of; callers were refused while servers of the region had free slots, because the server of their object was full. Change: an object's place decides whether it moves and its key which region with spare slots takes it; servers that lately served an object count as warm; a request that would be late in a queue takes a free slot first.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -82,6 +82,8 @@
 request_flow::request_flow(flow_context& shared, proxy::exchange_ptr served)
     : context(shared), ex(std::move(served)),
       routing(shared.state.snapshot->routing),
+      affinity_key(
+          header_value(ex->request, shared.platform.headers.affinity_key)),
       id(header_value(ex->request, shared.platform.headers.request_id))
 {
 }
@@ -152,15 +154,50 @@
     return true;
 }
 
+placement_request request_flow::describe() const
+{
+    return {*route, customer, service, affinity_key, tried};
+}
+
+bool request_flow::in_time(const server_placement& placed) const
+{
+    const auto predicted =
+        std::chrono::duration_cast<milliseconds>(now() - ex->received) +
+        placed.rank.expected;
+    return predicted <= route->target_latency;
+}
+
 std::optional<server_placement> request_flow::place()
 {
-    return place_request(
-        context.state,
-        {*route, customer, service,
-         std::string(
-             header_value(ex->request, context.platform.headers.affinity_key)),
-         tried},
-        now());
+    if (remaining() <= milliseconds(0))
+    {
+        refuse(refusal_reason::deadline, return_after);
+        return std::nullopt;
+    }
+    auto placed = place_request(context.state, describe(), now());
+    if (!placed)
+    {
+        refuse(sends > 0 ? refusal_reason::backend_shed
+                         : refusal_reason::no_capacity,
+               return_after);
+        return std::nullopt;
+    }
+    rank = placed->rank;
+    // Waiting in vain would make all those behind late as well. A free slot
+    // serves late, but at nobody's cost.
+    const bool kept_home = placed->kept_home;
+    if (placed->rank.queueing > milliseconds(0) && !in_time(*placed))
+        placed = place_on_free_slot(context.state, describe(), now());
+    if (!placed)
+    {
+        refuse(kept_home ? refusal_reason::shift_cap
+                         : refusal_reason::no_capacity,
+               return_after);
+        return std::nullopt;
+    }
+    rank = placed->rank;
+    confirm_placement(context.state, *placed, now());
+    return placed;
 }
 
 proxy::request_message
@@ -199,27 +236,7 @@
     {
         const auto placed = place();
         if (!placed)
-        {
-            if (sends > 0 && !last_detail.empty())
-                refuse(refusal_reason::backend_shed, return_after);
-            else
-                refuse(refusal_reason::no_capacity, return_after);
             co_return;
-        }
-        rank = placed->rank;
-        const auto predicted =
-            std::chrono::duration_cast<milliseconds>(now() - ex->received) +
-            placed->rank.expected;
-        const bool waits = placed->rank.queueing > milliseconds(0);
-        if ((waits && predicted > route->target_latency) ||
-            remaining() <= milliseconds(0))
-        {
-            refuse(placed->kept_home ? refusal_reason::shift_cap
-                                     : refusal_reason::no_capacity,
-                   return_after);
-            co_return;
-        }
-        confirm_placement(context.state, *placed, now());
         step = co_await attempt(*placed);
     }
     if (ex->cancelled)
@@ -293,6 +310,9 @@
                 static_cast<double>(result.latency.count()) / 1'000 >
                     usual * state.options.slow_factor;
             count_result(state, placed, false, slow);
+            steering::remember_object(
+                load, steering::object_number(route->id, affinity_key),
+                state.options.health, at);
             if (!placed.cold)
                 steering::record_latency(times, load, placed.rank,
                                          result.latency, state.options.ranking,
@@ -474,9 +494,7 @@
             << " route=" << (route == nullptr ? "-" : route->id.value)
             << " customer=" << (customer == nullptr ? "-" : customer->id.value)
             << " service=" << (service.value.empty() ? "-" : service.value)
-            << " object="
-            << header_value(ex->request,
-                            context.platform.headers.affinity_key)
+            << " object=" << affinity_key
             << " server=" << (tried.empty() ? "-" : tried.back().value)
             << " sends=" << sends << " status=" << status << " outcome="
             << outcome << " reason=" << reason << " ms=" << took.count() / 1'000
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -43,7 +43,10 @@
     bool admit();
     bool admit_customer();
     void set_deadline();
+    // Returns where the request goes, or refuses it.
     std::optional<server_placement> place();
+    placement_request describe() const;
+    bool in_time(const server_placement& placed) const;
     proxy::asio::awaitable<next_step> attempt(const server_placement& placed);
     next_step conclude(const server_placement& placed, proxy::call_result& result);
     next_step conclude_answer(const server_placement& placed,
@@ -70,6 +73,7 @@
     const steering::traffic_route* route = nullptr;
     const steering::traffic_customer* customer = nullptr;
     service_id service;
+    std::string affinity_key;
     std::string id;
     time_point deadline;
     std::vector<backend_server_id> tried;
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -90,6 +90,8 @@
                 time_point now)
 {
     std::vector<steering::candidate> found;
+    const auto object =
+        steering::object_number(request.route.id, request.affinity_key);
     for (const auto& server : servers_of(state, request.service))
     {
         if (!steering::region_allowed(request.route, request.customer,
@@ -102,7 +104,9 @@
         if (cold && !cold_budget_allows(state, *server, load, now))
             continue;
         found.push_back(
-            {server, &load, distance_to(state.config, *server), cold});
+            {server, &load, distance_to(state.config, *server), cold,
+             steering::remembers_object(load, object, state.options.health,
+                                        now)});
     }
     return found;
 }
@@ -156,25 +160,63 @@
                                  own_slots / slots, now);
 }
 
+// Puts the candidates of this region first and returns the end of them.
+std::vector<steering::candidate>::iterator
+split_by_region(std::vector<steering::candidate>& candidates)
+{
+    return std::stable_partition(
+        candidates.begin(), candidates.end(),
+        [](const steering::candidate& it)
+        { return it.away != steering::distance::other_region; });
+}
+
 std::optional<server_placement>
 choose_among(traffic_state& state, const placement_request& request,
-             std::span<const steering::candidate> candidates, time_point now)
+             std::span<const steering::candidate> candidates,
+             bool free_slots_only, time_point now)
 {
     steering::object_affinity object;
     if (request.route.affinity)
         object.key = request.affinity_key;
+    const auto surplus = state.surplus.find(request.service);
+    if (surplus != state.surplus.end())
+        object.refuge = steering::choose_refuge(object.key, surplus->second);
     if (request.route.large_body)
         object.group = steering::object_group::domain;
     const auto chosen = steering::choose_server(
         candidates, object,
         times_of(state, request.route, request.service), state.options.ranking,
-        state.options.health, now);
+        state.options.health, free_slots_only, now);
     if (!chosen)
         return std::nullopt;
     const auto& it = candidates[chosen->position];
     return server_placement{it.server, *chosen, it.cold, false};
 }
 
+// Returns the slots of each region beyond its share of the callers, who are
+// spread like the instances.
+std::vector<steering::region_surplus>
+find_surplus(const steering_snapshot& snapshot,
+             const std::vector<steering::server_ptr>& servers)
+{
+    std::map<region_id, double> slots;
+    double all = 0;
+    for (const auto& it : servers)
+    {
+        slots[it->region] += it->slots;
+        all += it->slots;
+    }
+    const auto members = static_cast<double>(snapshot.members.size());
+    std::vector<steering::region_surplus> found;
+    for (const auto& [region, n] : slots)
+    {
+        const auto own = static_cast<double>(std::ranges::count(
+            snapshot.members, region, &steering::fleet_member::region));
+        found.push_back({region, members > 0 ? n - all * own / members : n});
+    }
+    return found;
+}
+
 } // namespace
 
 void adopt_snapshot(traffic_state& state, snapshot_ptr next, time_point now)
@@ -189,6 +231,9 @@
     }
     std::erase_if(state.buckets, [&](const auto& it)
                   { return !state.snapshot->shares.contains(it.first); });
+    state.surplus.clear();
+    for (const auto& [service, servers] : state.snapshot->servers)
+        state.surplus[service] = find_surplus(*state.snapshot, servers);
     std::set<backend_server_id> present;
     for (const auto& servers : state.snapshot->servers | std::views::values)
         std::ranges::transform(servers, std::inserter(present, present.end()),
@@ -233,26 +278,38 @@
 {
     auto candidates = find_candidates(state, request, now);
     keep_version(state, request.service, candidates);
-    const auto abroad = std::stable_partition(
-        candidates.begin(), candidates.end(),
-        [](const steering::candidate& it)
-        { return it.away != steering::distance::other_region; });
+    const auto abroad = split_by_region(candidates);
     const auto near = choose_among(state, request,
-                                   {candidates.begin(), abroad}, now);
+                                   {candidates.begin(), abroad}, false, now);
     const auto far =
-        choose_among(state, request, {abroad, candidates.end()}, now);
+        choose_among(state, request, {abroad, candidates.end()}, false, now);
     if (!near || !far)
         return near ? near : far;
     const auto benefit = near->rank.cost_ms - far->rank.cost_ms;
     if (!state.shift)
         state.shift = start_shift(state, now);
-    if (steering::goes_abroad(*state.shift, benefit, state.options.shift, now))
+    std::optional<double> place;
+    if (request.route.affinity && !request.affinity_key.empty())
+        place = steering::object_place(request.affinity_key);
+    if (steering::goes_abroad(*state.shift, benefit, place,
+                              state.options.shift, now))
         return far;
     auto kept = near;
     kept->kept_home = benefit > 0;
     return kept;
 }
 
+std::optional<server_placement>
+place_on_free_slot(traffic_state& state, const placement_request& request,
+                   time_point now)
+{
+    auto candidates = find_candidates(state, request, now);
+    keep_version(state, request.service, candidates);
+    const auto abroad = split_by_region(candidates);
+    return choose_among(state, request, {candidates.begin(), abroad}, true,
+                        now);
+}
+
 bool take_quota(traffic_state& state, const steering::traffic_customer& of,
                 time_point now)
 {
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -57,6 +57,9 @@
     tally_table tallies;
     // Set with the first request.
     std::optional<steering::region_shift> shift;
+    // Of each service; computed when a snapshot is adopted.
+    std::unordered_map<service_id, std::vector<steering::region_surplus>>
+        surplus;
     std::mt19937_64 rng;
     std::uint64_t next_call = 1;
 };
@@ -84,8 +87,7 @@
     steering::server_ptr server;
     steering::ranked_server rank;
     bool cold = false;
-    // A server of another region would be better, but no more requests may move
-    // there yet.
+    // A server of another region would be better, but the object stays.
     bool kept_home = false;
 };
 
@@ -94,6 +96,11 @@
                                        const placement_request& request,
                                        time_point now);
 
+// Returns a server of the region that has a free slot, warm or not.
+std::optional<server_placement>
+place_on_free_slot(traffic_state& state, const placement_request& request,
+                   time_point now);
+
 // Takes what a cold server needs from its budget, before a request is sent.
 void confirm_placement(traffic_state& state, const server_placement& placed,
                        time_point now);
--- a/src/steering/region_shift.cpp
+++ b/src/steering/region_shift.cpp
@@ -9,12 +9,7 @@
 namespace
 {
 
-double part(double of, double all)
-{
-    return all > 0 ? of / all : 0;
-}
-
-// Ages the weights, and moves the allowed part towards the wanted one.
+// Ages the weights, and moves the part on.
 void age(region_shift& shift, const shift_options& options, time_point now)
 {
     const std::chrono::duration<double> span = now - shift.updated;
@@ -25,20 +20,14 @@
     const auto kept = std::exp(-span.count() / memory.count());
     shift.all *= kept;
     shift.wanting *= kept;
-    const auto most = options.change_per_s *
-                      std::min(span.count(), 2 * memory.count());
-    const auto distance = part(shift.wanting, shift.all) - shift.allowed;
-    shift.allowed += std::clamp(distance, -most, most);
-}
-
-// Returns how many requests have to be due before one of this benefit goes.
-double needed(double benefit_ms, const shift_options& options)
-{
-    if (benefit_ms > 0)
-        return 1;
-    return benefit_ms >= -options.tolerable_loss_ms
-               ? options.due_before_forced
-               : 2 * options.due_before_forced;
+    const auto wanting = shift.all > 0 ? shift.wanting / shift.all : 0;
+    // A pause without requests is no reason for a large step.
+    const auto seconds = std::min(span.count(), memory.count());
+    if (wanting > options.growth_level)
+        shift.moved += options.growth_per_s * seconds;
+    else if (wanting < options.fall_level)
+        shift.moved -= options.fall_per_s * seconds;
+    shift.moved = std::clamp(shift.moved, 0.0, 1.0);
 }
 
 } // namespace
@@ -48,23 +37,24 @@
     region_shift shift;
     shift.updated = now;
     if (callers_part > 0)
-        shift.allowed = std::max(0.0, 1 - slots_part / callers_part);
+        shift.moved = std::max(0.0, 1 - slots_part / callers_part);
     return shift;
 }
 
 bool goes_abroad(region_shift& shift, double benefit_ms,
-                 const shift_options& options, time_point now)
+                 std::optional<double> place, const shift_options& options,
+                 time_point now)
 {
     age(shift, options, now);
-    const bool wants = benefit_ms > 0;
     shift.all += 1;
-    shift.wanting += wants ? 1 : 0;
-    shift.due = std::min(shift.due + shift.allowed,
-                         2 * options.due_before_forced);
-    const bool goes = shift.due >= needed(benefit_ms, options);
-    if (goes)
-        shift.due -= 1;
-    return goes;
+    shift.wanting += benefit_ms > 0 ? 1 : 0;
+    if (place)
+        return *place < shift.moved;
+    shift.due += shift.moved;
+    if (shift.due < 1)
+        return false;
+    shift.due -= 1;
+    return true;
 }
 
 } // namespace parsleyplank::steering
--- a/src/steering/region_shift.hpp
+++ b/src/steering/region_shift.hpp
@@ -1,37 +1,41 @@
 #ifndef PARSLEYPLANK_STEERING_REGION_SHIFT_HPP
 #define PARSLEYPLANK_STEERING_REGION_SHIFT_HPP
 
-// Limits how fast the requests of a region move to other regions and back. The
-// part that goes follows the part that would be served sooner there, but no
-// faster than the cap. While fewer would be, others go in their place, those
-// that lose least by it before the rest.
+// Which requests of a region are served in other regions, and how fast that
+// changes. Objects move, not single requests, so that they stay warm where they
+// are. The part that moves grows while many requests would be served sooner
+// elsewhere and falls while few would, never faster than the cap.
 
 #include <parsleyplank/core/clock.hpp>
 
+#include <optional>
+
 namespace parsleyplank::steering
 {
 
 struct shift_options
 {
-    // Part of the requests by which the part that goes may change per second.
-    // Half of a cap over two seconds, less what chance adds.
-    double change_per_s = 0.06;
-    // The wanted part is an average over about this time.
+    // Part of the requests by which the part that moves may change per second:
+    // half of a cap over two seconds, less what chance adds.
+    double growth_per_s = 0.06;
+    double fall_per_s = 0.04;
+    // The part that would be served sooner elsewhere is an average over about
+    // this time.
     milliseconds memory{1'000};
-    // Requests that are due to go before one that loses by it is sent in their
-    // place; twice as many before one that loses more than the tolerable loss.
-    double due_before_forced = 2;
-    double tolerable_loss_ms = 250;
+    // It grows above the first level and falls below the second.
+    double growth_level = 0.2;
+    double fall_level = 0.08;
 };
 
 struct region_shift
 {
-    // Weights of the recent requests: all, and those that wanted to go.
+    // Weights of the recent requests: all, and those that would be served
+    // sooner elsewhere.
     double all = 0;
     double wanting = 0;
-    // Part of the requests that may go.
-    double allowed = 0;
-    // Requests that are due to go.
+    // Part of the requests that moves.
+    double moved = 0;
+    // Requests without an object that are due to move.
     double due = 0;
     time_point updated{};
 };
@@ -43,9 +47,12 @@
 region_shift start_shift(double callers_part, double slots_part,
                          time_point now);
 
-// Returns whether a request goes to another region, and counts it.
+// Returns whether a request goes to another region, and counts it. The benefit
+// is how much sooner it would be served there. The place is the object's, from
+// 0 to 1, the same at all instances; nothing if the request has no object.
 bool goes_abroad(region_shift& shift, double benefit_ms,
-                 const shift_options& options, time_point now);
+                 std::optional<double> place, const shift_options& options,
+                 time_point now);
 
 } // namespace parsleyplank::steering
 
--- a/src/steering/server_load.cpp
+++ b/src/steering/server_load.cpp
@@ -85,6 +85,26 @@
                    decay(load.slowness_at, options.slowness_half_life, now);
 }
 
+void remember_object(server_load& load, std::uint64_t object,
+                     const health_options& options, time_point now)
+{
+    // Bounds the memory; old ones are dropped when it is full.
+    constexpr std::size_t most_objects = 512;
+    if (load.objects.size() >= most_objects)
+        std::erase_if(load.objects, [&](const auto& it)
+                      { return now - it.second > options.object_memory; });
+    if (load.objects.size() < most_objects || load.objects.contains(object))
+        load.objects[object] = now;
+}
+
+bool remembers_object(const server_load& load, std::uint64_t object,
+                      const health_options& options, time_point now)
+{
+    const auto it = load.objects.find(object);
+    return it != load.objects.end() &&
+           now - it->second <= options.object_memory;
+}
+
 bool is_silent(const server_load& load, const health_options& options,
                time_point now)
 {
--- a/src/steering/server_load.hpp
+++ b/src/steering/server_load.hpp
@@ -11,7 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
+#include <unordered_map>
 
 namespace parsleyplank::steering
 {
@@ -36,6 +36,8 @@
     // Time in which what is known of a slow server halves, so that it is tried
     // again.
     milliseconds slowness_half_life{3'000};
+    // How long a server is taken to keep an object that it has served.
+    milliseconds object_memory{6'000};
 };
 
 // Load as a response reports it.
@@ -74,6 +76,8 @@
     // After an ejection or a lost connection the server may have been restarted
     // without notice, and is treated as cold until this time.
     time_point cold_until{};
+    // When objects, by the hash of their key, were last served there.
+    std::unordered_map<std::uint64_t, time_point> objects;
     // This instance's part of the rate that a cold server bears.
     quota::token_bucket cold_budget;
 };
@@ -108,6 +112,14 @@
 double slowness_of(const server_load& load, const health_options& options,
                    time_point now);
 
+// Remembers that the server has served an object.
+void remember_object(server_load& load, std::uint64_t object,
+                     const health_options& options, time_point now);
+
+// Returns whether it has done so lately.
+bool remembers_object(const server_load& load, std::uint64_t object,
+                      const health_options& options, time_point now);
+
 // Returns whether a request has waited too long without any sign of life.
 bool is_silent(const server_load& load, const health_options& options,
                time_point now);
--- a/src/steering/server_ranking.cpp
+++ b/src/steering/server_ranking.cpp
@@ -1,7 +1,9 @@
+#include <parsleyplank/core/hash.hpp>
 #include <parsleyplank/core/rendezvous.hpp>
 #include <parsleyplank/steering/server_ranking.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <numeric>
 #include <vector>
@@ -12,6 +14,16 @@
 namespace
 {
 
+// Keeps the place of an object independent of its rendezvous order.
+constexpr std::uint64_t place_seed = 0x9e3779b97f4a7c15;
+
+// Returns the hash as a number above 0 and at most 1.
+double hash_fraction(std::uint64_t hash)
+{
+    constexpr double range = 18446744073709551616.0;
+    return (static_cast<double>(hash) + 1) / range;
+}
+
 double to_ms(std::chrono::microseconds span)
 {
     return static_cast<double>(span.count()) / 1'000;
@@ -23,7 +35,8 @@
 }
 
 // Marks the servers that keep the object warm: the first of each group in
-// rendezvous order. All count as warm without an affinity key.
+// rendezvous order, in other regions only in the one that takes the object, and
+// those that have lately served it. All count as warm without an affinity key.
 std::vector<bool> mark_copies(std::span<const candidate> candidates,
                               const object_affinity& object,
                               std::size_t copies)
@@ -37,6 +50,10 @@
     for (std::size_t i = 0; i < candidates.size(); ++i)
     {
         const auto& server = *candidates[i].server;
+        marks[i] = candidates[i].remembered;
+        if (candidates[i].away == distance::other_region &&
+            server.region != object.refuge)
+            continue;
         const std::string_view group = object.group == object_group::region
                                            ? server.region.value
                                            : server.domain.value;
@@ -103,6 +120,37 @@
 
 } // namespace
 
+region_id choose_refuge(std::string_view key,
+                        std::span<const region_surplus> regions)
+{
+    // Weighted rendezvous: the highest of log(u) / weight.
+    region_id best;
+    double best_score = 0;
+    for (const auto& it : regions)
+    {
+        if (it.slots <= 0)
+            continue;
+        const auto u = hash_fraction(rendezvous_weight(key, it.region.value));
+        const auto score = std::log(u) / it.slots;
+        if (best.value.empty() || score > best_score)
+        {
+            best = it.region;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+double object_place(std::string_view key)
+{
+    return hash_fraction(hash64(key, place_seed));
+}
+
+std::uint64_t object_number(const route_id& route, std::string_view key)
+{
+    return hash64(key, hash64(route.value));
+}
+
 service_times initial_times(milliseconds target_latency)
 {
     // Half of the objective: a service that needs more would miss it often.
@@ -117,7 +165,7 @@
 choose_server(std::span<const candidate> candidates,
               const object_affinity& object, const service_times& times,
               const ranking_options& options, const health_options& health,
-              time_point now)
+              bool free_slots_only, time_point now)
 {
     const auto marks = mark_copies(candidates, object, options.copies);
     std::vector<std::size_t> usable;
@@ -134,6 +182,8 @@
     {
         auto it = price(candidates[i], marks[i], times, options, health, now);
         it.position = i;
+        if (free_slots_only && it.queue_factor > 0)
+            continue;
         if (!best || it.cost_ms < best->cost_ms)
             best = it;
     }
--- a/src/steering/server_ranking.hpp
+++ b/src/steering/server_ranking.hpp
@@ -59,8 +59,28 @@
     // Names the object; empty if the route has no affinity.
     std::string_view key;
     object_group group = object_group::region;
+    // Region that takes the object if it can't stay; empty if none does.
+    region_id refuge;
 };
 
+// Spare room of a region: slots beyond its share of the callers.
+struct region_surplus
+{
+    region_id region;
+    double slots = 0;
+};
+
+// Returns the region that takes an object: chosen by its key, in proportion to
+// the surplus. Empty if no region has any.
+region_id choose_refuge(std::string_view key,
+                        std::span<const region_surplus> regions);
+
+// Returns the place of an object among all others, from 0 to 1.
+double object_place(std::string_view key);
+
+// Returns the number that stands for an object of a route in memories.
+std::uint64_t object_number(const route_id& route, std::string_view key);
+
 // Service times of one route at one service, in milliseconds.
 struct service_times
 {
@@ -90,6 +110,8 @@
     distance away = distance::same_domain;
     // Whether the server is in its warm-up time.
     bool cold = false;
+    // Whether this instance has lately had the object served there.
+    bool remembered = false;
 };
 
 struct ranked_server
@@ -114,11 +136,12 @@
 
 // Returns the cheapest candidate, or nothing if there is none. Ejected servers
 // count only if all are ejected.
+// With free_slots_only, those where the request would wait do not count.
 std::optional<ranked_server>
 choose_server(std::span<const candidate> candidates,
               const object_affinity& object, const service_times& times,
               const ranking_options& options, const health_options& health,
-              time_point now);
+              bool free_slots_only, time_point now);
 
 // Learns from the time that the chosen server took.
 void record_latency(service_times& times, server_load& load,
