--- a/apps/parsleyplank-edge/main.cpp
+++ b/apps/parsleyplank-edge/main.cpp
@@ -6,15 +6,15 @@
 #include <parsleyplank/core/error.hpp>
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/edge/control_plane.hpp>
+
 #include <platform/adapter.hpp>
 #include <platform/platform_store.hpp>
-
-#include <log4cplus/loggingmacros.h>
 #include <tclap/CmdLine.h>
 
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <log4cplus/loggingmacros.h>
 
 using namespace parsleyplank;
 
@@ -50,8 +50,8 @@
     }
     catch (const config_error& ec)
     {
-        LOG4CPLUS_ERROR(log, "event=reload_failed detail=\"" << ec.what()
-                                                             << '"');
+        LOG4CPLUS_ERROR(log,
+                        "event=reload_failed detail=\"" << ec.what() << '"');
     }
 }
 
@@ -62,7 +62,10 @@
     edge::traffic_plane traffic(config, adapter, counters);
     edge::control_plane control(
         config, adapter, [&] { return open_store(config); }, traffic, {});
-    control.on_reload = [&] { reload(file, config); };
+    control.on_reload = [&]
+    {
+        reload(file, config);
+    };
     control.run();
     // The threads that wait for the store may block for the length of a watch,
     // longer than the platform lets a process take to end.
--- a/src/core/bounded_appender.cpp
+++ b/src/core/bounded_appender.cpp
@@ -1,10 +1,10 @@
 #include <parsleyplank/core/bounded_appender.hpp>
 
-#include <log4cplus/spi/loggingevent.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <log4cplus/spi/loggingevent.h>
 #include <sstream>
 #include <utility>
 
--- a/src/core/bounded_appender.hpp
+++ b/src/core/bounded_appender.hpp
@@ -5,11 +5,10 @@
 // thread writes them to standard output in batches. Lines beyond the rate or
 // the buffer are dropped and counted; the count is written as a line.
 
-#include <log4cplus/appender.h>
-
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <log4cplus/appender.h>
 #include <mutex>
 #include <string>
 #include <thread>
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -2,10 +2,11 @@
 #include <parsleyplank/core/error.hpp>
 #include <parsleyplank/core/log.hpp>
 
+#include <unistd.h>
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
-#include <unistd.h>
 #include <memory>
 
 namespace parsleyplank
@@ -41,7 +42,8 @@
 
 void start_logging(const std::string& level)
 {
-    start_with(level, [] { return new log4cplus::ConsoleAppender(true, true); });
+    start_with(level,
+               [] { return new log4cplus::ConsoleAppender(true, true); });
 }
 
 void start_bounded_logging(const std::string& level, std::int64_t lines_per_s)
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -5,9 +5,9 @@
 // fixed prefix of its lines: "2026-01-01 00:00:00.000 INFO  [quota] ...".
 // Messages are short sentences and never hold an API key.
 
+#include <cstdint>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
-#include <cstdint>
 #include <string>
 
 namespace parsleyplank
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -2,12 +2,10 @@
 #include <parsleyplank/core/rendezvous.hpp>
 #include <parsleyplank/edge/control_plane.hpp>
 
-#include <log4cplus/loggingmacros.h>
-
 #include <algorithm>
 #include <csignal>
 #include <iterator>
-#include <ranges>
+#include <log4cplus/loggingmacros.h>
 
 namespace parsleyplank::edge
 {
@@ -55,8 +53,8 @@
 
 milliseconds part_of(milliseconds whole, double part)
 {
-    return milliseconds(static_cast<std::int64_t>(
-        static_cast<double>(whole.count()) * part));
+    return milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
 }
 
 } // namespace
@@ -73,32 +71,35 @@
 {
     fleet.self = config.id;
     const auto post = [this](auto call)
-    { proxy::asio::post(io, std::move(call)); };
+    {
+        proxy::asio::post(io, std::move(call));
+    };
     writer = std::make_unique<store_writer>(
         make_store(), [this, post](const std::string& problem)
         { post([this, problem] { store_lost(problem); }); });
     feed = std::make_unique<store_feed>(
         make_store(), platform.layout.watched_prefix, options.feed,
-        feed_handlers{
-            [this, post](store::list_result all)
-            { post([this, all = std::move(all)] { take_listing(all); }); },
-            [this, post](store::list_result changes)
-            {
-                post([this, changes = std::move(changes)]
-                     { take_changes(changes); });
-            },
-            [this, post](const std::string& problem)
-            { post([this, problem] { store_lost(problem); }); }});
+        feed_handlers{[this, post](store::list_result all) {
+                          post([this, all = std::move(all)]
+                               { take_listing(all); });
+                      },
+                      [this, post](store::list_result changes) {
+                          post([this, changes = std::move(changes)]
+                               { take_changes(changes); });
+                      },
+                      [this, post](const std::string& problem)
+                      {
+                          post([this, problem] { store_lost(problem); });
+                      }});
 }
 
 void control_plane::run()
 {
-    LOG4CPLUS_INFO(log, "event=start instance="
-                            << config.id.value << " domain="
-                            << config.domain.value << " region="
-                            << config.region.value << " callers="
-                            << config.callers.address << ":"
-                            << config.callers.port);
+    LOG4CPLUS_INFO(log,
+                   "event=start instance="
+                       << config.id.value << " domain=" << config.domain.value
+                       << " region=" << config.region.value << " callers="
+                       << config.callers.address << ":" << config.callers.port);
     wait_for_signals();
     receive_digests();
     keep_registered();
@@ -130,9 +131,8 @@
 time_point control_plane::removal_time() const
 {
     const auto at = now();
-    const bool doubtful = store_away ||
-                          (lost_at != time_point{} &&
-                           at - lost_at < options.outage_memory);
+    const bool doubtful = store_away || (lost_at != time_point{} &&
+                                         at - lost_at < options.outage_memory);
     return doubtful ? at + options.removal_hold : at;
 }
 
@@ -165,9 +165,8 @@
 void control_plane::relist()
 {
     relisted = now();
-    LOG4CPLUS_INFO(log, "event=watch_behind applied=" << applied.value
-                                                      << " newest="
-                                                      << newest.value);
+    LOG4CPLUS_INFO(log, "event=watch_behind applied="
+                            << applied.value << " newest=" << newest.value);
     writer->submit(
         [this](store::lease_store& store)
         {
@@ -191,13 +190,13 @@
         take_entry(it);
     }
     std::vector<backend_server_id> missing;
-    for (const auto& id : servers.servers | std::views::keys)
+    for (const auto& [id, server] : servers.servers)
         if (!present.contains(platform.layout.server_prefix + id.value))
             missing.push_back(id);
     const auto when = removal_time();
     for (const auto& id : missing)
         steering::remove_server(servers, id, when, now());
-    for (const auto& id : fleet.peers | std::views::keys)
+    for (const auto& [id, peer] : fleet.peers)
         if (!present.contains(std::string(member_prefix) + id.value))
             remove_member(fleet, id);
     const auto gone = [&](const failure_domain_id& id)
@@ -212,7 +211,7 @@
     }();
     for (const auto& id : ended)
         take_removal(platform.layout.evacuation_prefix + id.value);
-    for (const auto& id : rollouts | std::views::keys)
+    for (const auto& [id, rollout] : rollouts)
         if (!present.contains(platform.layout.rollout_prefix + id.value))
             remove_order(rollouts, id);
     LOG4CPLUS_INFO(log, "event=listed keys=" << all.entries.size()
@@ -243,8 +242,7 @@
             const backend_server_id id(
                 *after_prefix(it.key, platform.layout.server_prefix));
             LOG4CPLUS_INFO(log, "event=server_removed server="
-                                    << id.value
-                                    << " held=" << (when > now()));
+                                    << id.value << " held=" << (when > now()));
             steering::remove_server(servers, id, when, now());
         }
         else if (it.key_revision == revision(0))
@@ -263,7 +261,10 @@
 {
     if (servers.leaving.empty())
         return;
-    const auto next = std::ranges::min(servers.leaving | std::views::values);
+    const auto next =
+        std::ranges::min_element(servers.leaving, {},
+                                 [](const auto& it) { return it.second; })
+            ->second;
     removal_timer.expires_at(next);
     removal_timer.async_wait(
         [this](const proxy::error_code& ec)
@@ -307,18 +308,17 @@
         {
             const auto record = unpack_value<rollout_record>(it.value, it.key);
             LOG4CPLUS_INFO(log, "event=rollout_recorded service="
-                                    << *service << " target="
-                                    << record.target.value << " phase="
-                                    << to_string(record.phase));
+                                    << *service
+                                    << " target=" << record.target.value
+                                    << " phase=" << to_string(record.phase));
             take_record(rollouts, service_id(*service), record,
                         it.key_revision);
         }
     }
     catch (const error& ec)
     {
-        LOG4CPLUS_WARN(log, "event=record_skipped key=" << it.key
-                                                        << " detail=\""
-                                                        << ec.what() << '"');
+        LOG4CPLUS_WARN(log, "event=record_skipped key="
+                                << it.key << " detail=\"" << ec.what() << '"');
     }
 }
 
@@ -351,17 +351,16 @@
     routing = std::make_shared<const steering::routing_table>(
         steering::make_routing_table(next));
     LOG4CPLUS_INFO(log, "event=configuration_adopted version="
-                            << next->version.value << " routes="
-                            << next->routes.size() << " customers="
-                            << next->customers.size());
+                            << next->version.value
+                            << " routes=" << next->routes.size()
+                            << " customers=" << next->customers.size());
 }
 
 void control_plane::take_server(const store::entry& it)
 {
     const backend_server_id id(
         it.key.substr(platform.layout.server_prefix.size()));
-    auto server =
-        platform.decode_server(id, it.value, config.regions, now());
+    auto server = platform.decode_server(id, it.value, config.regions, now());
     const bool draining = server.draining;
     const bool cold = server.cold_until > now();
     if (steering::put_server(servers, std::move(server)))
@@ -397,21 +396,23 @@
 void control_plane::deregister()
 {
     writer->submit(
-        [key = std::string(member_prefix) + self.id.value](
-            store::lease_store& store) { store.commit({{}, {}, {key}}); });
+        [key = std::string(member_prefix) +
+               self.id.value](store::lease_store& store) {
+            store.commit({{}, {}, {key}});
+        });
 }
 
 void control_plane::receive_digests()
 {
-    peers.async_receive_from(
-        proxy::asio::buffer(datagram), sender,
-        [this](const proxy::error_code& ec, std::size_t n)
-        {
-            // An error is that of an earlier datagram to a peer that is down.
-            if (!ec)
-                take_datagram(n);
-            receive_digests();
-        });
+    peers.async_receive_from(proxy::asio::buffer(datagram), sender,
+                             [this](const proxy::error_code& ec, std::size_t n)
+                             {
+                                 // An error is that of an earlier datagram to a
+                                 // peer that is down.
+                                 if (!ec)
+                                     take_datagram(n);
+                                 receive_digests();
+                             });
 }
 
 void control_plane::take_datagram(std::size_t n)
@@ -434,15 +435,20 @@
     }
     catch (const codec_error& ec)
     {
-        LOG4CPLUS_WARN(log, "event=datagram_ignored detail=\"" << ec.what()
-                                                               << '"');
+        LOG4CPLUS_WARN(log,
+                       "event=datagram_ignored detail=\"" << ec.what() << '"');
     }
 }
 
 void control_plane::send_digests(const traffic_report& report)
 {
-    member_digest digest{self.id, self.started_ms, ++digest_number,
-                         drain_began.has_value(), applied, {}, {}};
+    member_digest digest{self.id,
+                         self.started_ms,
+                         ++digest_number,
+                         drain_began.has_value(),
+                         applied,
+                         {},
+                         {}};
     // A demand too small to matter for the division of a rate.
     constexpr double least_demand = 0.02;
     for (const auto& [id, demand] : report.demands)
@@ -455,14 +461,14 @@
             continue;
         const auto it = report.tallies.find({service, rollout.order->target});
         if (it != report.tallies.end() || rollout.fault)
-            digest.rollouts.push_back(
-                {service, rollout.order->target,
-                 it == report.tallies.end() ? steering::rollout_tally()
-                                            : it->second,
-                 rollout.fault.has_value()});
+            digest.rollouts.push_back({service, rollout.order->target,
+                                       it == report.tallies.end()
+                                           ? steering::rollout_tally()
+                                           : it->second,
+                                       rollout.fault.has_value()});
     }
     const auto bytes = pack_value(digest);
-    for (const auto& peer : fleet.peers | std::views::values)
+    for (const auto& [id, peer] : fleet.peers)
     {
         proxy::error_code ec;
         const auto address =
@@ -477,11 +483,8 @@
 void control_plane::tick()
 {
     traffic.collect(
-        [this](traffic_report report)
-        {
-            proxy::asio::post(io, [this, report = std::move(report)]
-                              { step(report); });
-        });
+        [this](const traffic_report& report)
+        { proxy::asio::post(io, [this, report] { step(report); }); });
     const auto slowed = std::chrono::duration_cast<milliseconds>(
         std::chrono::duration<double>(static_cast<double>(fleet.peers.size()) /
                                       options.most_digests_per_s));
@@ -497,7 +500,7 @@
 tally_table control_plane::fleet_tallies(const traffic_report& report) const
 {
     auto sum = report.tallies;
-    for (const auto& peer : fleet.peers | std::views::values)
+    for (const auto& [id, peer] : fleet.peers)
         for (const auto& it : peer.digest.rollouts)
         {
             auto& tally = sum[{it.service, it.target}];
@@ -519,7 +522,7 @@
         poll_revision();
     note_revision(newest);
     std::map<service_id, std::size_t> rank;
-    for (const auto& service : rollouts | std::views::keys)
+    for (const auto& [service, rollout] : rollouts)
     {
         const auto order = rendezvous_order(service.value, ids);
         rank[service] = static_cast<std::size_t>(
@@ -528,9 +531,8 @@
     std::map<service_id, bool> had_fault;
     for (const auto& [service, rollout] : rollouts)
         had_fault[service] = rollout.fault.has_value();
-    const auto writes =
-        step_rollouts(rollouts, fleet_tallies(report), rank, options.rollouts,
-                      now(), wall_ms());
+    const auto writes = step_rollouts(rollouts, fleet_tallies(report), rank,
+                                      options.rollouts, now(), wall_ms());
     for (const auto& [service, rollout] : rollouts)
         if (rollout.fault && !had_fault[service])
             LOG4CPLUS_WARN(log, "event=rollout_braked service="
@@ -555,9 +557,9 @@
           store::lease_id(0)}},
         {}};
     LOG4CPLUS_INFO(log, "event=rollout_write service="
-                            << write.service.value << " target="
-                            << write.order.target.value << " phase="
-                            << to_string(write.next.phase));
+                            << write.service.value
+                            << " target=" << write.order.target.value
+                            << " phase=" << to_string(write.next.phase));
     writer->submit([changes = std::move(changes)](store::lease_store& store)
                    { store.commit(changes); });
 }
@@ -577,7 +579,7 @@
 void control_plane::update_servers(steering_snapshot& next)
 {
     std::map<service_id, std::set<version_id>> versions;
-    for (const auto& server : servers.servers | std::views::values)
+    for (const auto& [id, server] : servers.servers)
     {
         versions[server->service].insert(server->version);
         if (server->draining || evacuated.contains(server->domain))
@@ -587,10 +589,9 @@
         if (returned != cold_domains.end() && routing)
         {
             const auto service = routing->services.find(server->service);
-            const auto until =
-                service == routing->services.end()
-                    ? time_point{}
-                    : returned->second + service->second->warmup;
+            const auto until = service == routing->services.end()
+                                   ? time_point{}
+                                   : returned->second + service->second->warmup;
             if (until > it->cold_until)
             {
                 auto cold = *server;
@@ -615,16 +616,16 @@
             continue;
         const auto number = customer_number(customer.id);
         std::vector<steering::share_party> parties;
-        for (const auto& peer : fleet.peers | std::views::values)
+        for (const auto& [id, peer] : fleet.peers)
         {
             const auto& demands = peer.digest.demands;
-            const auto it = std::ranges::find(demands, number,
-                                              &customer_demand::customer);
+            const auto it =
+                std::ranges::find(demands, number, &customer_demand::customer);
             parties.push_back({it == demands.end() ? 0 : it->per_second,
                                is_heard(peer, options.fleet, now())});
         }
-        // A demand that the peers do not know yet would be added to theirs while
-        // all grow at once.
+        // A demand that the peers do not know yet would be added to theirs
+        // while all grow at once.
         const auto own = shared_demands.find(customer.id);
         next.shares[customer.id] = steering::divide_rate(
             customer.rate, customer.burst,
@@ -678,9 +679,9 @@
     if ((!accepting && report.open_exchanges == 0) ||
         age >= part_of(grace, options.last_part))
     {
-        LOG4CPLUS_INFO(log, "event=drained open_requests="
-                                << report.open_exchanges
-                                << " ms=" << age.count());
+        LOG4CPLUS_INFO(log,
+                       "event=drained open_requests=" << report.open_exchanges
+                                                      << " ms=" << age.count());
         io.stop();
     }
 }
--- a/src/edge/fleet_view.cpp
+++ b/src/edge/fleet_view.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace parsleyplank::edge
 {
@@ -38,7 +37,9 @@
         return false;
     auto& peer = it->second;
     const auto order = [](const member_digest& d)
-    { return std::pair(d.started_ms, d.number); };
+    {
+        return std::pair(d.started_ms, d.number);
+    };
     if (peer.heard_at != time_point{} && order(digest) <= order(peer.digest))
         return false;
     peer.digest = digest;
@@ -58,14 +59,13 @@
                                           time_point now)
 {
     const bool cut_off =
-        std::ranges::none_of(fleet.peers | std::views::values,
-                             [&](const peer_state& it)
-                             { return is_heard(it, options, now); });
+        std::ranges::none_of(fleet.peers, [&](const auto& it)
+                             { return is_heard(it.second, options, now); });
     std::vector<const peer_state*> live;
-    for (const auto& it : fleet.peers | std::views::values)
+    for (const auto& [id, it] : fleet.peers)
     {
-        const bool leaving = it.digest.leaving &&
-                             it.digest.started_ms >= it.record.started_ms;
+        const bool leaving =
+            it.digest.leaving && it.digest.started_ms >= it.record.started_ms;
         const bool introduced = now - it.registered_at > options.introduction;
         if (!leaving && (is_heard(it, options, now) ||
                          (it.registered && (!introduced || cut_off))))
@@ -78,8 +78,7 @@
                  time_point now)
 {
     std::erase_if(fleet.peers,
-                  [&](const auto& it)
-                  {
+                  [&](const auto& it) {
                       return !it.second.registered &&
                              !is_heard(it.second, options, now);
                   });
--- a/src/edge/fleet_view.hpp
+++ b/src/edge/fleet_view.hpp
@@ -108,8 +108,7 @@
 };
 
 // Notes that the store lists an instance.
-void put_member(fleet_view& fleet, const member_record& record,
-                time_point now);
+void put_member(fleet_view& fleet, const member_record& record, time_point now);
 
 // Notes that the store lists an instance no longer.
 void remove_member(fleet_view& fleet, const instance_id& id);
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -1,12 +1,11 @@
 #include <parsleyplank/edge/request_flow.hpp>
 
-#include <log4cplus/loggingmacros.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <log4cplus/loggingmacros.h>
 
 namespace parsleyplank::edge
 {
@@ -257,9 +256,9 @@
     call = std::make_shared<proxy::upstream_call>(context.pool, server);
     // Named, because GCC 12 destroys temporaries of a co_await twice.
     proxy::correlation echo{context.platform.headers.request_id, id};
-    auto result = co_await call->run(std::move(request), idempotent(),
-                                     std::move(echo),
-                                     deadline + deadline_grace);
+    auto result =
+        co_await call->run(std::move(request), idempotent(), std::move(echo),
+                           deadline + deadline_grace);
     call.reset();
     auto& load = state.loads[server->id];
     load.in_flight.erase(number);
@@ -342,10 +341,9 @@
         context.pool.drop(placed.server->id);
     }
     if (steering::record_result(load, verdict, state.options.health, at))
-        LOG4CPLUS_INFO(context.log,
-                       "server=" << placed.server->id.value
-                                 << " event=ejected failure_level="
-                                 << load.failure_level);
+        LOG4CPLUS_INFO(context.log, "server=" << placed.server->id.value
+                                              << " event=ejected failure_level="
+                                              << load.failure_level);
 }
 
 bool request_flow::may_repeat(retry_reason reason, bool reached_server)
@@ -474,13 +472,11 @@
                        std::string_view reason)
 {
     const auto at = now();
-    const auto took =
-        std::chrono::duration_cast<std::chrono::microseconds>(at -
-                                                              ex->received);
+    const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
+        at - ex->received);
     if (route != nullptr)
         context.counters.count_request(route->id,
-                                       outcome == "result"
-                                           ? run_outcome::result
+                                       outcome == "result" ? run_outcome::result
                                        : outcome == "not-run"
                                            ? run_outcome::not_run
                                            : run_outcome::unknown,
@@ -494,15 +490,14 @@
             << " route=" << (route == nullptr ? "-" : route->id.value)
             << " customer=" << (customer == nullptr ? "-" : customer->id.value)
             << " service=" << (service.value.empty() ? "-" : service.value)
-            << " object=" << affinity_key
-            << " server=" << (tried.empty() ? "-" : tried.back().value)
-            << " sends=" << sends << " status=" << status << " outcome="
-            << outcome << " reason=" << reason << " ms=" << took.count() / 1'000
+            << " object=" << affinity_key << " server="
+            << (tried.empty() ? "-" : tried.back().value) << " sends=" << sends
+            << " status=" << status << " outcome=" << outcome
+            << " reason=" << reason << " ms=" << took.count() / 1'000
             << " server_ms=" << server_latency.count() / 1'000
             << " expected_ms=" << rank.expected.count()
             << " queue=" << rank.queue_factor << " warm=" << rank.warm
-            << " config="
-            << (routing ? routing->config->version.value : 0)
+            << " config=" << (routing ? routing->config->version.value : 0)
             << " state_age_ms=" << state_age.count()
             << (last_detail.empty() ? "" : " detail=\"" + last_detail + "\""));
 }
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -48,12 +48,14 @@
     placement_request describe() const;
     bool in_time(const server_placement& placed) const;
     proxy::asio::awaitable<next_step> attempt(const server_placement& placed);
-    next_step conclude(const server_placement& placed, proxy::call_result& result);
+    next_step conclude(const server_placement& placed,
+                       proxy::call_result& result);
     next_step conclude_answer(const server_placement& placed,
                               proxy::call_result& result);
     next_step conclude_failure(const server_placement& placed,
                                const proxy::call_result& result);
-    void observe(const server_placement& placed, const proxy::call_result& result);
+    void observe(const server_placement& placed,
+                 const proxy::call_result& result);
     bool may_repeat(retry_reason reason, bool reached_server);
     proxy::request_message make_request(const server_placement& placed) const;
     void deliver(proxy::response_message response);
--- a/src/edge/rollout_control.cpp
+++ b/src/edge/rollout_control.cpp
@@ -27,10 +27,9 @@
 {
     auto time = std::chrono::duration_cast<milliseconds>(now - rollout.seen);
     if (is_current(rollout))
-        time = std::max(time,
-                        std::min(milliseconds(wall_ms -
-                                              rollout.record->started_ms),
-                                 rollout.order->duration));
+        time = std::max(
+            time, std::min(milliseconds(wall_ms - rollout.record->started_ms),
+                           rollout.order->duration));
     return time;
 }
 
@@ -40,7 +39,8 @@
     rollout_record next;
     if (rollout.record)
         next.rejected = rollout.record->rejected;
-    next.started_ms = is_current(rollout) ? rollout.record->started_ms : wall_ms;
+    next.started_ms =
+        is_current(rollout) ? rollout.record->started_ms : wall_ms;
     next.ordered = rollout.order->ordered;
     next.target = rollout.order->target;
     next.phase = phase;
@@ -72,10 +72,9 @@
         rollout.whole_since.reset();
     else if (!rollout.whole_since)
         rollout.whole_since = now;
-    if (all && steering::move_complete(
-                   std::chrono::duration_cast<milliseconds>(
-                       now - *rollout.whole_since),
-                   options.settling))
+    if (all && steering::move_complete(std::chrono::duration_cast<milliseconds>(
+                                           now - *rollout.whole_since),
+                                       options.settling))
         return rollout_phase::completed;
     if (!all && part >= options.last_part)
     {
@@ -134,15 +133,14 @@
             rollout,
             found == fleet.end() ? steering::rollout_tally() : found->second,
             options, now, wall_ms);
-        const bool due =
-            !is_current(rollout) || phase != rollout.record->phase;
+        const bool due = !is_current(rollout) || phase != rollout.record->phase;
         if (!due)
             continue;
         const auto at = rank.find(service);
         const auto place = at == rank.end() ? 0 : at->second;
         if (rollout.written == time_point{})
-            rollout.written = now + options.write_interval *
-                                        (static_cast<int>(place) - 1);
+            rollout.written =
+                now + options.write_interval * (static_cast<int>(place) - 1);
         if (now - rollout.written < options.write_interval)
             continue;
         rollout.written = now;
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -1,9 +1,8 @@
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/edge/traffic_plane.hpp>
 
-#include <log4cplus/loggingmacros.h>
-
 #include <algorithm>
+#include <log4cplus/loggingmacros.h>
 
 namespace parsleyplank::edge
 {
@@ -42,17 +41,18 @@
 traffic_plane::traffic_plane(const settings& config, const adapter& adapted,
                              telemetry::metrics& metrics)
     : platform(adapted), counters(metrics), io(1),
-      work(proxy::asio::make_work_guard(io)), pool(io, {}),
-      context{state, platform, pool, counters, part_logger("traffic")},
+      work(proxy::asio::make_work_guard(io)),
+      pool(io, {}), context{state, platform, pool, counters,
+                            part_logger("traffic")},
       sweep_timer(io)
 {
     state.config = config;
     state.rng.seed(std::hash<instance_id>{}(config.id));
     const auto listen = [&](const steering::server_endpoint& where,
-                            proxy::front_options options, auto handler)
+                            const proxy::front_options& options, auto handler)
     {
         listeners.push_back(std::make_unique<proxy::front_listener>(
-            io, where, std::move(options),
+            io, where, options,
             [this, handler](const proxy::exchange_ptr& ex)
             { (this->*handler)(ex); }));
     };
@@ -74,16 +74,16 @@
 
 void traffic_plane::publish(snapshot_ptr next)
 {
-    proxy::asio::post(
-        io,
-        [this, next = std::move(next)]
-        {
-            if (next->routing)
-                listeners.front()->set_limits(next->routing->config->limits);
-            if (next->draining)
-                listeners.front()->drain();
-            adopt_snapshot(state, next, now());
-        });
+    proxy::asio::post(io,
+                      [this, next = std::move(next)]
+                      {
+                          if (next->routing)
+                              listeners.front()->set_limits(
+                                  next->routing->config->limits);
+                          if (next->draining)
+                              listeners.front()->drain();
+                          adopt_snapshot(state, next, now());
+                      });
 }
 
 void traffic_plane::collect(std::function<void(traffic_report)> take)
@@ -118,13 +118,12 @@
             }
             catch (const std::exception& problem)
             {
-                LOG4CPLUS_ERROR(context.log,
-                                "event=request_failed detail=\""
-                                    << problem.what() << '"');
+                LOG4CPLUS_ERROR(context.log, "event=request_failed detail=\""
+                                                 << problem.what() << '"');
             }
             constexpr unsigned internal_error = 500;
-            proxy::respond(*ex, proxy::make_response(internal_error,
-                                                     "internal error"));
+            proxy::respond(
+                *ex, proxy::make_response(internal_error, "internal error"));
         });
 }
 
@@ -140,8 +139,8 @@
         return;
     }
     counters.count_lookup();
-    const auto found = steering::choose_instances(
-        state.snapshot->instances, query->domain, query->region);
+    const auto found = steering::choose_instances(state.snapshot->instances,
+                                                  query->domain, query->region);
     auto response = proxy::make_response(
         found.empty() ? status_unavailable : status_ok,
         platform.format_directory_answer(
@@ -153,10 +152,10 @@
 void traffic_plane::serve_readiness(const proxy::exchange_ptr& ex)
 {
     const auto target = ex->request.target();
-    const bool known = std::string_view(target.data(), target.size()) ==
-                       platform.ready_path;
+    const bool known =
+        std::string_view(target.data(), target.size()) == platform.ready_path;
     const bool ready = state.snapshot->routing && !state.snapshot->draining;
-    const auto status = !known   ? status_not_found
+    const auto status = !known  ? status_not_found
                         : ready ? status_ok
                                 : status_unavailable;
     proxy::respond(*ex,
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace parsleyplank::edge
 {
@@ -67,9 +66,9 @@
     const auto service = routing.services.find(server.service);
     if (service == routing.services.end() || service->second->warmup_rate <= 0)
         return true;
-    const auto rate = steering::cold_rate(server, state.config.id,
-                                          state.snapshot->members,
-                                          service->second->warmup_rate);
+    const auto rate =
+        steering::cold_rate(server, state.config.id, state.snapshot->members,
+                            service->second->warmup_rate);
     if (rate.value <= 0)
         return false;
     auto& budget = load.cold_budget;
@@ -96,8 +95,7 @@
     {
         if (!steering::region_allowed(request.route, request.customer,
                                       server->region) ||
-            std::ranges::find(request.tried, server->id) !=
-                request.tried.end())
+            std::ranges::find(request.tried, server->id) != request.tried.end())
             continue;
         auto& load = state.loads[server->id];
         const bool cold = is_cold(*server, load, now);
@@ -120,8 +118,7 @@
     if (found == state.snapshot->versions.end())
         return;
     const auto& policy = found->second;
-    std::erase_if(candidates,
-                  [&](const steering::candidate& it)
+    std::erase_if(candidates, [&](const steering::candidate& it)
                   { return policy.rejected.contains(it.server->version); });
     if (!policy.target)
         return;
@@ -144,7 +141,7 @@
     const auto& own = state.config.region;
     double slots = 0;
     double own_slots = 0;
-    for (const auto& servers : state.snapshot->servers | std::views::values)
+    for (const auto& [service, servers] : state.snapshot->servers)
         for (const auto& it : servers)
         {
             slots += it->slots;
@@ -184,9 +181,8 @@
     if (request.route.large_body)
         object.group = steering::object_group::domain;
     const auto chosen = steering::choose_server(
-        candidates, object,
-        times_of(state, request.route, request.service), state.options.ranking,
-        state.options.health, free_slots_only, now);
+        candidates, object, times_of(state, request.route, request.service),
+        state.options.ranking, state.options.health, free_slots_only, now);
     if (!chosen)
         return std::nullopt;
     const auto& it = candidates[chosen->position];
@@ -235,15 +231,12 @@
     for (const auto& [service, servers] : state.snapshot->servers)
         state.surplus[service] = find_surplus(*state.snapshot, servers);
     std::set<backend_server_id> present;
-    for (const auto& servers : state.snapshot->servers | std::views::values)
+    for (const auto& [service, servers] : state.snapshot->servers)
         std::ranges::transform(servers, std::inserter(present, present.end()),
                                [](const auto& it) { return it->id; });
-    std::erase_if(state.loads,
-                  [&](const auto& it)
-                  {
-                      return it.second.in_flight.empty() &&
-                             !present.contains(it.first);
-                  });
+    std::erase_if(
+        state.loads, [&](const auto& it)
+        { return it.second.in_flight.empty() && !present.contains(it.first); });
 }
 
 const service_id& next_service(traffic_state& state,
@@ -259,7 +252,8 @@
         sum += it.weight;
     }
     const auto& chosen = *std::ranges::max_element(
-        route.services, {}, [&](const steering::weighted_service& it)
+        route.services, {},
+        [&](const steering::weighted_service& it)
         { return it.weight > 0 ? credit[it.service] : -sum; });
     credit[chosen.service] -= sum;
     return chosen.service;
@@ -273,15 +267,15 @@
 }
 
 std::optional<server_placement> place_request(traffic_state& state,
-                                       const placement_request& request,
-                                       time_point now)
+                                              const placement_request& request,
+                                              time_point now)
 {
     auto candidates = find_candidates(state, request, now);
     keep_version(state, request.service, candidates);
     const auto abroad = split_by_region(candidates);
-    const auto near = choose_among(state, request,
-                                   {candidates.begin(), abroad}, false, now);
-    const auto far =
+    const auto near =
+        choose_among(state, request, {candidates.begin(), abroad}, false, now);
+    auto far =
         choose_among(state, request, {abroad, candidates.end()}, false, now);
     if (!near || !far)
         return near ? near : far;
@@ -291,8 +285,8 @@
     std::optional<double> place;
     if (request.route.affinity && !request.affinity_key.empty())
         place = steering::object_place(request.affinity_key);
-    if (steering::goes_abroad(*state.shift, benefit, place,
-                              state.options.shift, now))
+    if (steering::goes_abroad(*state.shift, benefit, place, state.options.shift,
+                              now))
         return far;
     auto kept = near;
     kept->kept_home = benefit > 0;
@@ -317,8 +311,7 @@
     if (of.rate.value <= 0)
         return true;
     const auto it = state.buckets.find(of.id);
-    return it == state.buckets.end() ||
-           quota::take(it->second, tokens(1), now);
+    return it == state.buckets.end() || quota::take(it->second, tokens(1), now);
 }
 
 void return_quota(traffic_state& state, const steering::traffic_customer& of)
@@ -326,8 +319,7 @@
     const auto it = state.buckets.find(of.id);
     if (of.rate.value <= 0 || it == state.buckets.end())
         return;
-    it->second.level =
-        std::min(it->second.burst, it->second.level + tokens(1));
+    it->second.level = std::min(it->second.burst, it->second.level + tokens(1));
 }
 
 milliseconds quota_wait(const traffic_state& state,
@@ -363,8 +355,8 @@
     return it->second;
 }
 
-void count_result(traffic_state& state, const server_placement& placed, bool failed,
-                  bool slow)
+void count_result(traffic_state& state, const server_placement& placed,
+                  bool failed, bool slow)
 {
     const auto& server = *placed.server;
     const auto policy = state.snapshot->versions.find(server.service);
@@ -372,8 +364,8 @@
         !policy->second.target)
         return;
     auto& tally = state.tallies[{server.service, *policy->second.target}];
-    auto& side = server.version == policy->second.target ? tally.target
-                                                         : tally.others;
+    auto& side =
+        server.version == policy->second.target ? tally.target : tally.others;
     if (failed)
     {
         ++side.bad;
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -93,8 +93,8 @@
 
 // Returns the server for the request, or nothing if no server may be used.
 std::optional<server_placement> place_request(traffic_state& state,
-                                       const placement_request& request,
-                                       time_point now);
+                                              const placement_request& request,
+                                              time_point now);
 
 // Returns a server of the region that has a free slot, warm or not.
 std::optional<server_placement>
@@ -128,8 +128,8 @@
                                   const service_id& service);
 
 // Counts the result of a request if the versions of its service are judged.
-void count_result(traffic_state& state, const server_placement& placed, bool failed,
-                  bool slow);
+void count_result(traffic_state& state, const server_placement& placed,
+                  bool failed, bool slow);
 
 // Returns the counts for the control thread.
 traffic_report make_report(traffic_state& state, time_point now);
--- a/src/proxy/messages.cpp
+++ b/src/proxy/messages.cpp
@@ -60,13 +60,17 @@
             named.emplace_back(token.data(), token.size());
     for (const auto& name : named)
         fields.erase(name);
-    constexpr std::array fixed{
-        http::field::connection,        http::field::keep_alive,
-        http::field::proxy_connection,  http::field::transfer_encoding,
-        http::field::te,                http::field::trailer,
-        http::field::upgrade,           http::field::content_length,
-        http::field::expect,            http::field::proxy_authenticate,
-        http::field::proxy_authorization};
+    constexpr std::array fixed{http::field::connection,
+                               http::field::keep_alive,
+                               http::field::proxy_connection,
+                               http::field::transfer_encoding,
+                               http::field::te,
+                               http::field::trailer,
+                               http::field::upgrade,
+                               http::field::content_length,
+                               http::field::expect,
+                               http::field::proxy_authenticate,
+                               http::field::proxy_authorization};
     for (const auto field : fixed)
         fields.erase(field);
 }
--- a/src/proxy/messages.hpp
+++ b/src/proxy/messages.hpp
@@ -7,10 +7,11 @@
 
 #include <parsleyplank/core/clock.hpp>
 
-// Asio 1.74 uses std::exchange in its coroutine support without this header.
+// Asio 1.74 uses std::exchange without including its header.
+// clang-format off
 #include <utility>
-
 #include <boost/asio.hpp>
+// clang-format on
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <ranges>
 
 namespace parsleyplank::proxy
 {
@@ -56,8 +55,8 @@
         return std::nullopt;
     const auto digits = text.substr(at + name.size());
     std::int64_t seconds = 0;
-    const auto parsed = std::from_chars(
-        digits.data(), digits.data() + digits.size(), seconds);
+    const auto parsed =
+        std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
     if (parsed.ec != std::errc() || seconds < 0)
         return std::nullopt;
     return std::chrono::seconds(seconds);
@@ -104,7 +103,7 @@
     auto& kept = idle[server];
     while (!kept.empty())
     {
-        const auto connection = kept.back();
+        auto connection = kept.back();
         const auto age = now() - connection->idle_since;
         if (!repeatable && age > options.fresh_idle)
             return nullptr;
@@ -132,10 +131,9 @@
 void upstream_pool::sweep()
 {
     const auto at = now();
-    for (auto& kept : idle | std::views::values)
+    for (auto& [server, kept] : idle)
         std::erase_if(kept,
-                      [&](const upstream_connection_ptr& it)
-                      {
+                      [&](const upstream_connection_ptr& it) {
                           return at - it->idle_since >= it->idle_limit ||
                                  !is_quiet(*it);
                       });
@@ -210,15 +208,15 @@
 // whole body.
 void upstream_call::begin_write()
 {
-    http::async_write(connection->socket, message,
-                      [self = shared_from_this()](const error_code& ec,
-                                                  std::size_t)
-                      { self->write_done = !ec; });
+    http::async_write(
+        connection->socket, message,
+        [self = shared_from_this()](const error_code& ec, std::size_t)
+        { self->write_done = !ec; });
 }
 
-asio::awaitable<void>
-upstream_call::read_response(call_result& result, const correlation& expected,
-                             bool head)
+asio::awaitable<void> upstream_call::read_response(call_result& result,
+                                                   const correlation& expected,
+                                                   bool head)
 {
     for (int n = 0; n <= most_stray_responses; ++n)
     {
@@ -293,8 +291,8 @@
     }
     const auto& options = pool.settings();
     const auto stated = stated_idle_timeout(result.response);
-    connection->idle_limit = stated ? *stated - options.idle_margin
-                                    : options.idle_without_statement;
+    connection->idle_limit =
+        stated ? *stated - options.idle_margin : options.idle_without_statement;
     if (connection->idle_limit > milliseconds(0))
         pool.put(target->id, connection);
     co_return result;
--- a/src/steering/cold_share.cpp
+++ b/src/steering/cold_share.cpp
@@ -22,8 +22,8 @@
                               ~rendezvous_weight(server.id.value, it.id.value));
         });
     order.resize(n);
-    const bool chosen = std::ranges::find(order, self, &fleet_member::id) !=
-                        order.end();
+    const bool chosen =
+        std::ranges::find(order, self, &fleet_member::id) != order.end();
     return token_rate(chosen ? rate / static_cast<double>(n) : 0);
 }
 
--- a/src/steering/customer_share.cpp
+++ b/src/steering/customer_share.cpp
@@ -19,17 +19,16 @@
     if (!isolated)
     {
         const auto available = rate.value - even * silent;
-        const auto demand = std::accumulate(
-            peers.begin(), peers.end(), own_demand,
-            [](double sum, const share_party& it)
-            { return it.heard ? sum + it.demand : sum; });
+        const auto demand =
+            std::accumulate(peers.begin(), peers.end(), own_demand,
+                            [](double sum, const share_party& it)
+                            { return it.heard ? sum + it.demand : sum; });
         part = demand > available
                    ? available * own_demand / demand
                    : own_demand + (available - demand) / (members - silent);
     }
     const auto fraction = rate.value > 0 ? part / rate.value : 0;
-    return {token_rate(part),
-            tokens(std::max(1.0, burst.value * fraction))};
+    return {token_rate(part), tokens(std::max(1.0, burst.value * fraction))};
 }
 
 void count_demand(demand_meter& meter)
--- a/src/steering/rollout_plan.cpp
+++ b/src/steering/rollout_plan.cpp
@@ -18,16 +18,16 @@
                                    const rollout::sample& others,
                                    const rollout_options& options)
 {
-    const auto part = static_cast<double>(target.faulty) /
-                      static_cast<double>(std::max<std::uint64_t>(
-                          1, target.total));
+    const auto part =
+        static_cast<double>(target.faulty) /
+        static_cast<double>(std::max<std::uint64_t>(1, target.total));
     if (target.faulty < options.least_faulty ||
         part < options.least_faulty_part ||
         rollout::fisher_tail(target, others) >= options.significance)
         return std::nullopt;
     return std::to_string(target.faulty) + " of " +
-           std::to_string(target.total) + " " + what +
-           " on the new version, " + std::to_string(others.faulty) + " of " +
+           std::to_string(target.total) + " " + what + " on the new version, " +
+           std::to_string(others.faulty) + " of " +
            std::to_string(others.total) + " on the others";
 }
 
--- a/src/steering/rollout_plan.hpp
+++ b/src/steering/rollout_plan.hpp
@@ -1,10 +1,10 @@
 #ifndef PARSLEYPLANK_STEERING_ROLLOUT_PLAN_HPP
 #define PARSLEYPLANK_STEERING_ROLLOUT_PLAN_HPP
 
-// Moves a service to a new version by a deadline. Each instance follows the same
-// schedule from the start of the order, judges the requests of the whole fleet,
-// and stops sending to a bad version on its own. The outcome is written once, by
-// compare-and-swap, by whichever instance comes first.
+// Moves a service to a new version by a deadline. Each instance follows the
+// same schedule from the start of the order, judges the requests of the whole
+// fleet, and stops sending to a bad version on its own. The outcome is written
+// once, by compare-and-swap, by whichever instance comes first.
 
 #include <parsleyplank/core/clock.hpp>
 #include <parsleyplank/core/codec.hpp>
--- a/src/steering/routing_table.cpp
+++ b/src/steering/routing_table.cpp
@@ -2,7 +2,6 @@
 #include <parsleyplank/steering/routing_table.hpp>
 
 #include <algorithm>
-#include <ranges>
 
 namespace parsleyplank::steering
 {
@@ -13,7 +12,9 @@
 void check_route(const traffic_route& route, const routing_table& table)
 {
     const auto fail = [&](const std::string& text)
-    { throw config_error("route " + route.id.value + ": " + text); };
+    {
+        throw config_error("route " + route.id.value + ": " + text);
+    };
     if (route.host.empty())
         fail("no host");
     if (!route.path_prefix.starts_with('/') ||
@@ -46,8 +47,8 @@
 
 bool contains(const std::vector<region_id>& regions, const region_id& region)
 {
-    return regions.empty() || std::ranges::find(regions, region) !=
-                                  regions.end();
+    return regions.empty() ||
+           std::ranges::find(regions, region) != regions.end();
 }
 
 } // namespace
@@ -63,10 +64,10 @@
         check_route(it, table);
         table.hosts[it.host].push_back(&it);
     }
-    for (auto& routes : table.hosts | std::views::values)
-        std::ranges::stable_sort(
-            routes, std::ranges::greater{},
-            [](const traffic_route* it) { return it->path_prefix.size(); });
+    for (auto& [host, routes] : table.hosts)
+        std::ranges::stable_sort(routes, std::ranges::greater{},
+                                 [](const traffic_route* it)
+                                 { return it->path_prefix.size(); });
     for (const auto& it : table.config->customers)
         for (const auto& key : it.api_keys)
             if (const auto [at, added] = table.keys.emplace(key, &it);
@@ -83,9 +84,9 @@
     if (found == table.hosts.end())
         return nullptr;
     const auto path = target.substr(0, target.find('?'));
-    const auto it = std::ranges::find_if(
-        found->second, [&](const traffic_route* route)
-        { return path.starts_with(route->path_prefix); });
+    const auto it =
+        std::ranges::find_if(found->second, [&](const traffic_route* route)
+                             { return path.starts_with(route->path_prefix); });
     return it == found->second.end() ? nullptr : *it;
 }
 
--- a/src/steering/server_load.cpp
+++ b/src/steering/server_load.cpp
@@ -19,9 +19,8 @@
 void eject(server_load& load, const health_options& options, time_point now)
 {
     constexpr std::uint32_t most_doublings = 8;
-    const auto length =
-        options.ejection_base * (1U << std::min(load.ejections,
-                                                most_doublings));
+    const auto length = options.ejection_base *
+                        (1U << std::min(load.ejections, most_doublings));
     load.ejected_until =
         now + std::min<milliseconds>(length, options.ejection_longest);
     ++load.ejections;
@@ -43,8 +42,8 @@
         return false;
     const double sample = result == request_result::bad ? 1 : 0;
     load.failure_level = failure_level(load, options, now);
-    load.failure_level += (sample - load.failure_level) *
-                          options.failure_weight;
+    load.failure_level +=
+        (sample - load.failure_level) * options.failure_weight;
     load.failure_at = now;
     if (result == request_result::good)
     {
@@ -53,9 +52,8 @@
         return false;
     }
     // Directly after an ejection one more failure shows that it still fails.
-    const bool returned =
-        load.ejections > 0 && now >= load.ejected_until &&
-        now - load.ejected_until < options.ejection_longest;
+    const bool returned = load.ejections > 0 && now >= load.ejected_until &&
+                          now - load.ejected_until < options.ejection_longest;
     if (now < load.ejected_until ||
         (load.failure_level < options.ejection_level && !returned))
         return false;
--- a/src/steering/server_ranking.cpp
+++ b/src/steering/server_ranking.cpp
@@ -38,8 +38,7 @@
 // rendezvous order, in other regions only in the one that takes the object, and
 // those that have lately served it. All count as warm without an affinity key.
 std::vector<bool> mark_copies(std::span<const candidate> candidates,
-                              const object_affinity& object,
-                              std::size_t copies)
+                              const object_affinity& object, std::size_t copies)
 {
     std::vector<bool> marks(candidates.size(), object.key.empty());
     if (object.key.empty())
@@ -57,16 +56,14 @@
         const std::string_view group = object.group == object_group::region
                                            ? server.region.value
                                            : server.domain.value;
-        groups[group].emplace_back(~rendezvous_weight(object.key,
-                                                      server.id.value),
-                                   i);
+        groups[group].emplace_back(
+            ~rendezvous_weight(object.key, server.id.value), i);
     }
     for (auto& [group, order] : groups)
     {
         const auto n = std::min(copies, order.size());
-        std::ranges::partial_sort(order,
-                                  order.begin() +
-                                      static_cast<std::ptrdiff_t>(n));
+        std::ranges::partial_sort(order, order.begin() +
+                                             static_cast<std::ptrdiff_t>(n));
         for (std::size_t i = 0; i < n; ++i)
             marks[order[i].second] = true;
     }
@@ -77,9 +74,8 @@
 {
     if (it.load->round_trip)
         return to_ms(*it.load->round_trip);
-    return it.away == distance::other_region
-               ? to_ms(options.remote_round_trip)
-               : to_ms(options.region_round_trip);
+    return it.away == distance::other_region ? to_ms(options.remote_round_trip)
+                                             : to_ms(options.region_round_trip);
 }
 
 double crossing_ms(const candidate& it, double kilobytes,
@@ -94,8 +90,8 @@
 }
 
 ranked_server price(const candidate& it, bool warm, const service_times& times,
-             const ranking_options& options, const health_options& health,
-             time_point now)
+                    const ranking_options& options,
+                    const health_options& health, time_point now)
 {
     const double factor =
         times.cold_factor > 0 ? times.cold_factor : options.cold_object_factor;
@@ -209,11 +205,11 @@
         constexpr double least_slowness = 0.3;
         constexpr double most_slowness = 20;
         const auto usual = std::max(1.0, times.warm_ms);
-        load.slowness = std::clamp(
-            load.slowness * (work > usual * load.slowness
-                                 ? options.server_quantile_up
-                                 : options.server_quantile_down),
-            least_slowness, most_slowness);
+        load.slowness =
+            std::clamp(load.slowness * (work > usual * load.slowness
+                                            ? options.server_quantile_up
+                                            : options.server_quantile_down),
+                       least_slowness, most_slowness);
         // A slow server must not make all others look fast.
         times.warm_ms *= work / load.slowness > times.warm_ms
                              ? options.quantile_up
@@ -221,9 +217,8 @@
         return;
     }
     constexpr double most_factor = 10;
-    const auto factor =
-        std::clamp(work / std::max(1.0, times.warm_ms * load.slowness), 1.0,
-                   most_factor);
+    const auto factor = std::clamp(
+        work / std::max(1.0, times.warm_ms * load.slowness), 1.0, most_factor);
     const auto known =
         times.cold_factor > 0 ? times.cold_factor : options.cold_object_factor;
     times.cold_factor = known + (factor - known) * weight;
--- a/src/steering/server_ranking.hpp
+++ b/src/steering/server_ranking.hpp
@@ -2,9 +2,10 @@
 #define PARSLEYPLANK_STEERING_SERVER_RANKING_HPP
 
 // Chooses the backend server of a request by its expected completion time.
-// Requests for one object meet one server of a region, by rendezvous order, because a server works several times faster on an object that it has
-// handled recently. A request leaves those servers, its failure domain or its
-// region only if waiting there costs more.
+// Requests for one object meet one server of a region, by rendezvous order,
+// because a server works several times faster on an object that it has handled
+// recently. A request leaves those servers, its failure domain or its region
+// only if waiting there costs more.
 
 #include <parsleyplank/steering/server_load.hpp>
 #include <parsleyplank/steering/server_registry.hpp>
@@ -45,8 +46,8 @@
     double failure_cost = 4.0;
 };
 
-// Servers among which objects are divided. A region's servers have to warm up an
-// object once and keep fewer objects each; within a failure domain no bytes
+// Servers among which objects are divided. A region's servers have to warm up
+// an object once and keep fewer objects each; within a failure domain no bytes
 // cross to another one.
 enum class object_group
 {
@@ -84,8 +85,8 @@
 // Service times of one route at one service, in milliseconds.
 struct service_times
 {
-    // Time that warm requests take: a low quantile, because some requests at the
-    // server that keeps an object still find it cold.
+    // Time that warm requests take: a low quantile, because some requests at
+    // the server that keeps an object still find it cold.
     double warm_ms = 0;
     // Average over warm and cold requests: what those ahead in a queue take.
     double mean_ms = 0;
--- a/src/steering/server_registry.cpp
+++ b/src/steering/server_registry.cpp
@@ -1,7 +1,5 @@
 #include <parsleyplank/steering/server_registry.hpp>
 
-#include <algorithm>
-#include <ranges>
 #include <set>
 
 namespace parsleyplank::steering
@@ -24,8 +22,7 @@
 {
     const auto id = server.id;
     const auto known = registry.servers.find(id);
-    if (known != registry.servers.end() &&
-        is_outdated(server, *known->second))
+    if (known != registry.servers.end() && is_outdated(server, *known->second))
         return false;
     registry.leaving.erase(id);
     if (known != registry.servers.end() && *known->second == server)
@@ -61,10 +58,9 @@
         changed = put_server(registry, it) || changed;
     }
     std::vector<backend_server_id> missing;
-    std::ranges::copy_if(registry.servers | std::views::keys,
-                         std::back_inserter(missing),
-                         [&](const backend_server_id& id)
-                         { return !present.contains(id); });
+    for (const auto& [id, server] : registry.servers)
+        if (!present.contains(id))
+            missing.push_back(id);
     for (const auto& id : missing)
         changed = remove_server(registry, id, effective, now) || changed;
     return changed;
--- a/src/steering/server_registry.hpp
+++ b/src/steering/server_registry.hpp
@@ -58,7 +58,8 @@
 };
 
 // Adds or replaces a server. A record of an earlier process of the same id, or
-// an earlier report of the same process, is ignored. Cancels a held removal. Returns whether anything changed.
+// an earlier report of the same process, is ignored. Cancels a held removal.
+// Returns whether anything changed.
 bool put_server(server_registry& registry, backend_server server);
 
 // Removes a server at the given time, or at once if that is past. Returns
--- a/src/store/http_call.cpp
+++ b/src/store/http_call.cpp
@@ -34,8 +34,7 @@
 int set_user_timeout(void* data, curl_socket_t socket, curlsocktype /*use*/)
 {
     const auto& settings = *static_cast<const http_settings*>(data);
-    const auto ms =
-        static_cast<unsigned int>(settings.silence_timeout.count());
+    const auto ms = static_cast<unsigned int>(settings.silence_timeout.count());
     const bool set =
         setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms) == 0;
     return set ? CURL_SOCKOPT_OK : CURL_SOCKOPT_ERROR;
--- /dev/null
+++ b/test/correctness/edge_data_path.cpp
@@ -0,0 +1,306 @@
+// Guards the data path of an edge process: whose response a caller gets, what a
+// backend server sees, and what is sent again.
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <support/edge_fixture.hpp>
+
+#include <atomic>
+#include <mutex>
+
+using namespace parsleyplank;
+using namespace parsleyplank::test;
+
+namespace
+{
+
+class edge_data_path : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(edge_data_path);
+    CPPUNIT_TEST(without_a_configuration_it_says_that_nothing_ran);
+    CPPUNIT_TEST(unknown_routes_and_keys_are_refused);
+    CPPUNIT_TEST(the_api_key_is_replaced_by_the_customer);
+    CPPUNIT_TEST(pipelined_requests_are_answered_in_their_order);
+    CPPUNIT_TEST(a_chunked_body_arrives_whole);
+    CPPUNIT_TEST(an_order_is_not_sent_again_after_a_lost_connection);
+    CPPUNIT_TEST(a_read_is_sent_to_another_server_after_a_lost_connection);
+    CPPUNIT_TEST(an_order_that_did_not_run_is_sent_to_another_server);
+    CPPUNIT_TEST(a_body_that_ends_early_never_looks_complete);
+    CPPUNIT_TEST(a_late_response_to_another_request_is_skipped);
+    CPPUNIT_TEST(failures_of_a_server_pass_unchanged);
+    CPPUNIT_TEST(the_rest_of_a_body_never_reaches_another_request);
+    CPPUNIT_TEST(a_draining_instance_closes_after_its_response);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<edge_fixture> edge;
+
+    raw_response send(const std::string& request)
+    {
+        raw_connection caller(edge->config.callers.port);
+        caller.send(request);
+        return caller.receive();
+    }
+
+public:
+    void setUp() override
+    {
+        edge = std::make_unique<edge_fixture>();
+    }
+
+    void tearDown() override
+    {
+        edge.reset();
+    }
+
+    void without_a_configuration_it_says_that_nothing_ran()
+    {
+        const auto response =
+            send(edge_fixture::request("GET", "/read/1", "a"));
+        CPPUNIT_ASSERT_EQUAL(503, response.status);
+        CPPUNIT_ASSERT(response.head.find("Retry-After: ") !=
+                       std::string::npos);
+    }
+
+    void unknown_routes_and_keys_are_refused()
+    {
+        std::atomic<int> seen{0};
+        edge->add_server(
+            [&](const std::string& request)
+            {
+                ++seen;
+                return scripted_response{echo_response(request, "ok"), false};
+            });
+        edge->publish();
+        CPPUNIT_ASSERT_EQUAL(
+            404, send(edge_fixture::request("GET", "/none/1", "a")).status);
+        CPPUNIT_ASSERT_EQUAL(
+            401, send(edge_fixture::request("GET", "/read/1", "a", "", "", "x"))
+                     .status);
+        CPPUNIT_ASSERT_EQUAL(0, seen.load());
+    }
+
+    void the_api_key_is_replaced_by_the_customer()
+    {
+        std::mutex guard;
+        std::string seen;
+        edge->add_server(
+            [&](const std::string& request)
+            {
+                const std::lock_guard lock(guard);
+                seen = request;
+                return scripted_response{echo_response(request, "ok"), false};
+            });
+        edge->publish();
+        const auto response = send(edge_fixture::request(
+            "GET", "/read/1", "a", "Parsleyplank-Tenant: another\r\n"));
+        CPPUNIT_ASSERT_EQUAL(200, response.status);
+        const std::lock_guard lock(guard);
+        CPPUNIT_ASSERT(seen.find("key-1") == std::string::npos);
+        CPPUNIT_ASSERT(seen.find("another") == std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::string("shop"),
+                             header_of(seen, "Parsleyplank-Tenant"));
+        CPPUNIT_ASSERT_EQUAL(std::string("server-1"),
+                             header_of(seen, "Parsleyplank-Expected-Instance"));
+    }
+
+    // Pattern: the busiest kind of both deployments sends further reads before
+    // the first is answered.
+    void pipelined_requests_are_answered_in_their_order()
+    {
+        // The first server answers only once the other has been asked.
+        std::atomic<int> seen{0};
+        const auto respond = [&](const std::string& request)
+        {
+            ++seen;
+            return scripted_response{
+                echo_response(request,
+                              header_of(request, "Parsleyplank-Request-Id")),
+                false};
+        };
+        edge->add_server(respond);
+        edge->add_server(respond);
+        edge->publish();
+        raw_connection caller(edge->config.callers.port);
+        std::string all;
+        for (int i = 0; i < 6; ++i)
+            all += edge_fixture::request("GET", "/read/1", std::to_string(i));
+        caller.send(all);
+        for (int i = 0; i < 6; ++i)
+            CPPUNIT_ASSERT_EQUAL(std::to_string(i), caller.receive().body);
+        CPPUNIT_ASSERT_EQUAL(6, seen.load());
+    }
+
+    void a_chunked_body_arrives_whole()
+    {
+        std::mutex guard;
+        std::string seen;
+        edge->add_server(
+            [&](const std::string& request)
+            {
+                const std::lock_guard lock(guard);
+                seen = request;
+                return scripted_response{echo_response(request, "ok"), false};
+            });
+        edge->publish();
+        const auto response =
+            send("POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
+                 "Parsleyplank-Request-Id: a\r\nApi-Key: key-1\r\n"
+                 "Transfer-Encoding: "
+                 "chunked\r\n\r\n4\r\nabcd\r\n2\r\nef\r\n0\r\n\r\n");
+        CPPUNIT_ASSERT_EQUAL(200, response.status);
+        const std::lock_guard lock(guard);
+        CPPUNIT_ASSERT(seen.ends_with("\r\n\r\nabcdef"));
+    }
+
+    void an_order_is_not_sent_again_after_a_lost_connection()
+    {
+        std::atomic<int> seen{0};
+        const auto lose = [&](const std::string&)
+        {
+            ++seen;
+            return scripted_response{"", true};
+        };
+        edge->add_server(lose);
+        edge->add_server(lose);
+        edge->publish();
+        const auto response =
+            send(edge_fixture::request("POST", "/order/1", "a", "", "body"));
+        CPPUNIT_ASSERT_EQUAL(502, response.status);
+        CPPUNIT_ASSERT_EQUAL(1, seen.load());
+    }
+
+    void a_read_is_sent_to_another_server_after_a_lost_connection()
+    {
+        std::atomic<int> seen{0};
+        const auto lose_first = [&](const std::string& request)
+        {
+            return ++seen == 1
+                       ? scripted_response{"", true}
+                       : scripted_response{echo_response(request, "ok"), false};
+        };
+        edge->add_server(lose_first);
+        edge->add_server(lose_first);
+        edge->publish();
+        CPPUNIT_ASSERT_EQUAL(
+            200, send(edge_fixture::request("GET", "/read/1", "a")).status);
+        CPPUNIT_ASSERT_EQUAL(2, seen.load());
+    }
+
+    void an_order_that_did_not_run_is_sent_to_another_server()
+    {
+        std::atomic<int> seen{0};
+        const auto refuse_first = [&](const std::string& request)
+        {
+            return ++seen == 1
+                       ? scripted_response{"HTTP/1.1 503 Full\r\n"
+                                           "Parsleyplank-Request-Id: a\r\n"
+                                           "Parsleyplank-Not-Executed: 1\r\n"
+                                           "Content-Length: 0\r\n\r\n",
+                                           false}
+                       : scripted_response{echo_response(request, "ok"), false};
+        };
+        edge->add_server(refuse_first);
+        edge->add_server(refuse_first);
+        edge->publish();
+        CPPUNIT_ASSERT_EQUAL(200, send(edge_fixture::request("POST", "/order/1",
+                                                             "a", "", "body"))
+                                      .status);
+        CPPUNIT_ASSERT_EQUAL(2, seen.load());
+    }
+
+    void a_body_that_ends_early_never_looks_complete()
+    {
+        edge->add_server(
+            [](const std::string&)
+            {
+                return scripted_response{
+                    "HTTP/1.1 200 OK\r\nParsleyplank-Request-Id: a\r\n"
+                    "Content-Length: 100\r\n\r\nonly a part",
+                    true};
+            });
+        edge->publish();
+        const auto response =
+            send(edge_fixture::request("POST", "/order/1", "a", "", "body"));
+        CPPUNIT_ASSERT_EQUAL(502, response.status);
+    }
+
+    // Pattern: a server sends a second response to a request, which waits where
+    // the next response is expected.
+    void a_late_response_to_another_request_is_skipped()
+    {
+        edge->add_server(
+            [](const std::string& request)
+            {
+                return scripted_response{
+                    "HTTP/1.1 200 OK\r\nParsleyplank-Request-Id: earlier\r\n"
+                    "Content-Length: 5\r\n\r\nwrong" +
+                        echo_response(request, "right"),
+                    false};
+            });
+        edge->publish();
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("right"),
+            send(edge_fixture::request("POST", "/order/1", "a", "", "body"))
+                .body);
+    }
+
+    void failures_of_a_server_pass_unchanged()
+    {
+        edge->add_server(
+            [](const std::string&)
+            {
+                return scripted_response{
+                    "HTTP/1.1 500 Broken\r\nParsleyplank-Request-Id: a\r\n"
+                    "Parsleyplank-Response-Seal: s-1\r\n"
+                    "Content-Length: 3\r\n\r\nbad",
+                    false};
+            });
+        edge->publish();
+        const auto response =
+            send(edge_fixture::request("POST", "/order/1", "a", "", "body"));
+        CPPUNIT_ASSERT_EQUAL(500, response.status);
+        CPPUNIT_ASSERT(response.has_line("Parsleyplank-Response-Seal: s-1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("bad"), response.body);
+    }
+
+    // Two bodies on one connection: what follows the first is a request of its
+    // own, and what claims to be one inside a body is not.
+    void the_rest_of_a_body_never_reaches_another_request()
+    {
+        std::atomic<int> seen{0};
+        edge->add_server(
+            [&](const std::string& request)
+            {
+                ++seen;
+                return scripted_response{echo_response(request, "ok"), false};
+            });
+        edge->publish();
+        raw_connection caller(edge->config.callers.port);
+        const auto hidden = edge_fixture::request("GET", "/read/1", "hidden");
+        caller.send(edge_fixture::request("POST", "/order/1", "a", "", hidden) +
+                    edge_fixture::request("GET", "/read/1", "b"));
+        CPPUNIT_ASSERT_EQUAL(200, caller.receive().status);
+        CPPUNIT_ASSERT_EQUAL(200, caller.receive().status);
+        CPPUNIT_ASSERT_EQUAL(2, seen.load());
+    }
+
+    void a_draining_instance_closes_after_its_response()
+    {
+        edge->add_server(
+            [](const std::string& request) {
+                return scripted_response{echo_response(request, "ok"), false};
+            });
+        edge->publish();
+        raw_connection caller(edge->config.callers.port);
+        caller.send(edge_fixture::request("GET", "/read/1", "a"));
+        CPPUNIT_ASSERT_EQUAL(200, caller.receive().status);
+        auto draining = std::make_shared<edge::steering_snapshot>();
+        draining->draining = true;
+        edge->plane->publish(draining);
+        caller.send(edge_fixture::request("GET", "/read/1", "b"));
+        CPPUNIT_ASSERT(caller.receive().has_line("Connection: close"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(edge_data_path);
+
+} // namespace
--- /dev/null
+++ b/test/correctness/platform_decode.cpp
@@ -0,0 +1,147 @@
+// Guards the adapter: records of the documented form decode into the project's
+// types, and any other record is rejected by name instead of being guessed at.
+
+#include <parsleyplank/core/error.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <platform/adapter.hpp>
+#include <platform/decode.hpp>
+
+using namespace parsleyplank;
+
+namespace
+{
+
+const std::string configuration = R"({
+ "version":"0000001c",
+ "routes":{"columns":["name","host","pathPrefix","routeType","timeout",
+   "targetLatency","priority","trafficSplit","maxAttempts","public",
+   "sessionAffinity","allowedRegions","service"],
+  "rows":[["r1","a.example","/x/","safe","2500ms","0.6s",2,
+    [{"service":"s1","weight":90},{"service":"s2","weight":10}],2,false,true,
+    [],null],
+   ["r2","a.example","/y/","upload",null,"800ms",1,null,1,true,false,["oslo"],
+    "s1"]]},
+ "services":{"columns":["name","healthPath","maxConnections","protocol","tls",
+   "warmup","warmupPerS"],
+  "rows":[["s1","/healthz",330,"h1",false,"3s",3.8],
+   ["s2","/healthz",330,"h1",false,"3s",3.8]]},
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeout":"3000ms",
+  "idleTimeout":"15000ms"},
+ "tenants":{"columns":["name","apiKeys","priority","ratePerS","burst",
+   "allowedRegions"],
+  "rows":[["t1",["k1","k2"],1,81,82,[]]]}})";
+
+std::string server(const std::string& change_from = "",
+                   const std::string& change_to = "")
+{
+    std::string text =
+        R"({"address":"10.1.0.9:8080","born":1700000000123,)"
+        R"("info":{"service":"s1","version":"v1","zone":"oslo-a","capacity":4},)"
+        R"("status":{"state":"ready","sequence":4,"warmupLeft":"1500ms"}})";
+    if (const auto at = text.find(change_from); !change_from.empty())
+        text.replace(at, change_from.size(), change_to);
+    return text;
+}
+
+class platform_decode : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(platform_decode);
+    CPPUNIT_TEST(a_configuration_decodes);
+    CPPUNIT_TEST(a_configuration_of_another_form_is_rejected);
+    CPPUNIT_TEST(a_server_decodes);
+    CPPUNIT_TEST(a_forged_server_is_rejected);
+    CPPUNIT_TEST(a_directory_query_decodes);
+    CPPUNIT_TEST_SUITE_END();
+
+    const time_point start{std::chrono::hours(1)};
+
+    steering::backend_server decode(const std::string& value)
+    {
+        return platform::decode_server(
+            backend_server_id("i-1"), value,
+            {{failure_domain_id("oslo-a"), region_id("oslo")}}, start);
+    }
+
+public:
+    void a_configuration_decodes()
+    {
+        const auto config = platform::decode_configuration(configuration);
+        CPPUNIT_ASSERT(config.version == epoch(28));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), config.routes.size());
+        const auto& read = config.routes.front();
+        CPPUNIT_ASSERT(read.repeat == steering::repeat_rule::idempotent);
+        CPPUNIT_ASSERT(read.target_latency == milliseconds(600));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.services.size());
+        CPPUNIT_ASSERT_EQUAL(90.0, read.services.front().weight);
+        const auto& upload = config.routes.back();
+        CPPUNIT_ASSERT(upload.repeat == steering::repeat_rule::at_most_once);
+        CPPUNIT_ASSERT(upload.large_body && upload.open);
+        CPPUNIT_ASSERT(upload.allowed_regions.front() == region_id("oslo"));
+        CPPUNIT_ASSERT(config.keys_required);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                             config.customers.front().api_keys.size());
+        CPPUNIT_ASSERT(config.customers.front().rate == token_rate(81));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1'000), config.limits.max_body_bytes);
+        CPPUNIT_ASSERT(config.services.front().warmup == milliseconds(3'000));
+    }
+
+    void a_configuration_of_another_form_is_rejected()
+    {
+        for (
+            const auto* const damaged :
+            {"", "[]", R"({"version":"xyz"})",
+             R"({"version":"1","routes":{"columns":["name"],"rows":[[1,2]]}})",
+             R"({"version":"1","routes":{"columns":["name"],"rows":[["r"]]}})"})
+            CPPUNIT_ASSERT_THROW(platform::decode_configuration(damaged),
+                                 codec_error);
+    }
+
+    void a_server_decodes()
+    {
+        const auto it = decode(server());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.9"), it.endpoint.address);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t(8080), it.endpoint.port);
+        CPPUNIT_ASSERT(it.region == region_id("oslo"));
+        CPPUNIT_ASSERT(it.cold_until == start + milliseconds(1'500));
+        CPPUNIT_ASSERT(!it.draining);
+        CPPUNIT_ASSERT(decode(server("ready", "draining")).draining);
+    }
+
+    // Pattern: entries of another writer lie among those of the servers.
+    void a_forged_server_is_rejected()
+    {
+        const std::vector<std::pair<std::string, std::string>> changes{
+            {"\"capacity\":4", "\"capacity\":\"4\""},
+            {"\"capacity\":4", "\"capacity\":0"},
+            {"ready", "sleeping"},
+            {"oslo-a", "elsewhere"},
+            {"1500ms", "soon"},
+            {"10.1.0.9:8080", "10.1.0.9"},
+            {"\"sequence\":4", "\"sequence\":null"},
+            {"1700000000123", "\"now\""},
+            {"\"version\":\"v1\",", ""},
+            {"{\"address\"", "{{"}};
+        for (const auto& [from, to] : changes)
+            CPPUNIT_ASSERT_THROW_MESSAGE(to, decode(server(from, to)),
+                                         codec_error);
+    }
+
+    void a_directory_query_decodes()
+    {
+        const auto adapter = platform::make_adapter();
+        const auto query = adapter.parse_directory_query(
+            "/resolve?name=a.example&region=oslo&zone=oslo-a");
+        CPPUNIT_ASSERT(query && query->domain == failure_domain_id("oslo-a") &&
+                       query->region == region_id("oslo"));
+        CPPUNIT_ASSERT(!adapter.parse_directory_query("/resolved"));
+        const std::vector<steering::server_endpoint> one{{"10.0.0.1", 80}};
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(R"({"addresses":["10.0.0.1:80"],"ttl":"2000ms"})"),
+            adapter.format_directory_answer(one, milliseconds(2'000)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_decode);
+
+} // namespace
--- /dev/null
+++ b/test/correctness/platform_store.cpp
@@ -0,0 +1,156 @@
+// Guards the calls to the platform's store: pages, changes, lost history, and
+// what is known after a write without an answer.
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <platform/platform_store.hpp>
+#include <support/raw_server.hpp>
+
+#include <mutex>
+#include <vector>
+
+using namespace parsleyplank;
+using namespace parsleyplank::test;
+
+namespace
+{
+
+class platform_store_calls : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(platform_store_calls);
+    CPPUNIT_TEST(a_listing_reads_all_pages_at_the_first_revision);
+    CPPUNIT_TEST(a_watch_tells_writes_from_removals);
+    CPPUNIT_TEST(lost_history_is_told_from_an_outage);
+    CPPUNIT_TEST(a_write_without_an_answer_may_have_been_done);
+    CPPUNIT_TEST(a_refused_write_was_not_done);
+    CPPUNIT_TEST(a_conflict_and_an_ended_lease_write_nothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::mutex guard;
+    std::vector<std::string> requests;
+
+    std::unique_ptr<raw_server>
+    start(const std::function<scripted_response(std::size_t n)>& respond)
+    {
+        return std::make_unique<raw_server>(
+            [this, respond](const std::string& request)
+            {
+                const std::lock_guard lock(guard);
+                requests.push_back(request);
+                return respond(requests.size());
+            });
+    }
+
+    static platform::platform_store open(const raw_server& server)
+    {
+        store::http_settings where;
+        where.address = "127.0.0.1";
+        where.port = server.port();
+        return platform::platform_store(where);
+    }
+
+public:
+    void a_listing_reads_all_pages_at_the_first_revision()
+    {
+        const auto server = start(
+            [](std::size_t n)
+            {
+                return scripted_response{
+                    http_text(
+                        "200 OK",
+                        n == 1
+                            ? R"({"items":[{"key":"a","value":"b25l","revision":3,"created":3,"lease":0}],"hasMore":true,"storeRevision":7})"
+                            : R"({"items":[{"key":"b","value":"","revision":8,"created":8,"lease":0}],"hasMore":false,"storeRevision":9})"),
+                    false};
+            });
+        auto store = open(*server);
+        const auto all = store.list("x/");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), all.entries.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), all.entries.front().value);
+        CPPUNIT_ASSERT(all.store_revision == revision(7));
+        CPPUNIT_ASSERT(requests.back().find("after=a") != std::string::npos);
+    }
+
+    void a_watch_tells_writes_from_removals()
+    {
+        const auto server = start(
+            [](std::size_t)
+            {
+                return scripted_response{
+                    http_text(
+                        "200 OK",
+                        R"({"events":[{"key":"a","value":"b25l","revision":4,"created":4,"lease":1},{"key":"b","revision":5,"removed":true}],"storeRevision":5})"),
+                    false};
+            });
+        auto store = open(*server);
+        const auto changes = store.watch("", revision(3), milliseconds(10));
+        CPPUNIT_ASSERT(changes.entries.front().key_revision == revision(4));
+        CPPUNIT_ASSERT(changes.entries.back().key_revision == revision(0));
+        CPPUNIT_ASSERT(changes.store_revision == revision(5));
+    }
+
+    void lost_history_is_told_from_an_outage()
+    {
+        const auto server = start(
+            [](std::size_t n)
+            {
+                return scripted_response{
+                    http_text(n == 1 ? "410 Gone" : "503 Busy", "{}"), false};
+            });
+        auto store = open(*server);
+        CPPUNIT_ASSERT_THROW(store.watch("", revision(3), milliseconds(10)),
+                             store::history_lost);
+        CPPUNIT_ASSERT_THROW(store.watch("", revision(3), milliseconds(10)),
+                             store_unavailable);
+    }
+
+    void a_write_without_an_answer_may_have_been_done()
+    {
+        const auto server = start(
+            [](std::size_t) {
+                return scripted_response{"", true};
+            });
+        auto store = open(*server);
+        CPPUNIT_ASSERT_THROW(
+            store.commit({{}, {{"a", "1", store::lease_id(0)}}, {}}),
+            store_outcome_unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), requests.size());
+    }
+
+    void a_refused_write_was_not_done()
+    {
+        const auto server = start(
+            [](std::size_t n)
+            {
+                return scripted_response{
+                    http_text(n == 1 ? "503 Busy" : "429 Many", "{}"), false};
+            });
+        auto store = open(*server);
+        for (int i = 0; i < 2; ++i)
+            CPPUNIT_ASSERT_THROW(store.compare_and_swap("a", revision(1), "v"),
+                                 store_unavailable);
+    }
+
+    void a_conflict_and_an_ended_lease_write_nothing()
+    {
+        const auto server = start(
+            [](std::size_t n)
+            {
+                return scripted_response{
+                    http_text(n == 1 ? "412 Conflict" : "404 Gone",
+                              R"({"items":[]})"),
+                    false};
+            });
+        auto store = open(*server);
+        const store::transaction changes{
+            {}, {{"a", "1", store::lease_id(5)}}, {}};
+        CPPUNIT_ASSERT(store.commit(changes) ==
+                       store::commit_outcome::conflict);
+        CPPUNIT_ASSERT(store.commit(changes) ==
+                       store::commit_outcome::lease_ended);
+        CPPUNIT_ASSERT(!store.renew_lease(store::lease_id(5)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_store_calls);
+
+} // namespace
--- a/test/correctness/steering_region_shift.cpp
+++ b/test/correctness/steering_region_shift.cpp
@@ -41,8 +41,8 @@
             for (int i = 0; i < requests_per_s; ++i)
             {
                 now += milliseconds(1'000 / requests_per_s);
-                const bool wants = (i * 7 % requests_per_s) <
-                                   part * requests_per_s;
+                const bool wants =
+                    (i * 7 % requests_per_s) < part * requests_per_s;
                 constexpr double objects = 24;
                 const double place = (i * 11 % 24) / objects;
                 gone.push_back(goes_abroad(shift, wants ? 200 : -120, place,
@@ -69,14 +69,15 @@
     }
 
 public:
-    // Pattern: at the start all objects are cold. A region with few servers sends
-    // nothing elsewhere, a second later nearly everything, and some seconds later
-    // nothing again (SHIFT was broken on a quiet day, 46 in 100 within 2 s).
+    // Pattern: at the start all objects are cold. A region with few servers
+    // sends nothing elsewhere, a second later nearly everything, and some
+    // seconds later nothing again (SHIFT was broken on a quiet day, 46 in 100
+    // within 2 s).
     void a_poor_region_that_warms_up_calls_its_requests_back_slowly()
     {
-        const auto parts =
-            parts_gone({0, 0.7, 0.9, 0.5, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
-                       2.0 / 14);
+        const auto parts = parts_gone(
+            {0, 0.7, 0.9, 0.5, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
+            2.0 / 14);
         CPPUNIT_ASSERT(largest_change(parts) < cap);
         CPPUNIT_ASSERT(parts.back() < 0.1);
     }
--- a/test/correctness/steering_server_ranking.cpp
+++ b/test/correctness/steering_server_ranking.cpp
@@ -35,13 +35,12 @@
     {
         std::vector<candidate> list;
         for (const auto& it : servers)
-            list.push_back({it, &loads[it->id],
-                            it->domain.value == own_domain
-                                ? distance::same_domain
-                            : it->region.value == own_region
-                                ? distance::same_region
-                                : distance::other_region,
-                            false});
+            list.push_back(
+                {it, &loads[it->id],
+                 it->domain.value == own_domain   ? distance::same_domain
+                 : it->region.value == own_region ? distance::same_region
+                                                  : distance::other_region,
+                 false});
         return list;
     }
 };
@@ -69,8 +68,8 @@
     CPPUNIT_TEST_SUITE_END();
 
     const time_point start{std::chrono::hours(1)};
-    const ranking_options options;
-    const health_options health;
+    const ranking_options options{};
+    const health_options health{};
     service_times times{260, 260, 0, 4};
     object_group group_kind = object_group::region;
     bool free_only = false;
@@ -169,8 +168,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("far"), chosen(group, "", start));
     }
 
-    // Pattern: callers were refused because the server of their object was full,
-    // while others of the region had free slots.
+    // Pattern: callers were refused because the server of their object was
+    // full, while others of the region had free slots.
     void an_idle_server_is_found_when_the_warm_one_is_full()
     {
         auto group = one_domain(3);
@@ -205,8 +204,8 @@
         const auto first = chosen(group, "3", start);
         auto& load = group.loads[backend_server_id(first)];
         load.in_flight[1] = {start, milliseconds(260)};
-        CPPUNIT_ASSERT_EQUAL(first, chosen(group, "3",
-                                           start + milliseconds(500)));
+        CPPUNIT_ASSERT_EQUAL(first,
+                             chosen(group, "3", start + milliseconds(500)));
         const auto later = start + milliseconds(900);
         CPPUNIT_ASSERT(first != chosen(group, "3", later));
         load.heard_at = start + milliseconds(850);
@@ -236,8 +235,7 @@
         load.slowness_at = start;
         CPPUNIT_ASSERT(first != chosen(group, "3", start));
         CPPUNIT_ASSERT_EQUAL(
-            first,
-            chosen(group, "3", start + 4 * health.slowness_half_life));
+            first, chosen(group, "3", start + 4 * health.slowness_half_life));
     }
 };
 
--- a/test/failure/load_caller.cpp
+++ b/test/failure/load_caller.cpp
@@ -112,7 +112,7 @@
         std::map<std::string, int> paths;
         std::uint16_t port = 0;
         test::raw_server server(
-            [&](const std::string& request) -> test::raw_response
+            [&](const std::string& request) -> test::scripted_response
             {
                 const std::lock_guard lock(mutex);
                 if (request.starts_with("GET /v1/lookup"))
@@ -139,7 +139,7 @@
         std::uint64_t posts = 0;
         std::uint16_t port = 0;
         test::raw_server server(
-            [&](const std::string& request) -> test::raw_response
+            [&](const std::string& request) -> test::scripted_response
             {
                 const std::lock_guard lock(mutex);
                 if (request.starts_with("GET /v1/lookup"))
@@ -166,10 +166,10 @@
     {
         std::mutex mutex;
         std::uint16_t draining_port = 0;
-        test::raw_server good([](const std::string&) -> test::raw_response
+        test::raw_server good([](const std::string&) -> test::scripted_response
                               { return {response("result", "")}; });
         test::raw_server draining(
-            [&](const std::string& request) -> test::raw_response
+            [&](const std::string& request) -> test::scripted_response
             {
                 const std::lock_guard lock(mutex);
                 if (request.starts_with("GET /v1/lookup"))
--- a/test/failure/store_http_faults.cpp
+++ b/test/failure/store_http_faults.cpp
@@ -93,7 +93,7 @@
         std::uint16_t port = 0;
         {
             const test::raw_server closed([](const std::string&)
-                                          { return test::raw_response(); });
+                                          { return test::scripted_response(); });
             port = closed.port();
         }
         http_kv_store store(settings_of(port, long_timeout));
@@ -162,7 +162,7 @@
         {
             const test::raw_server raw(
                 [&](const std::string&) {
-                    return test::raw_response{bytes, true};
+                    return test::scripted_response{bytes, true};
                 });
             http_kv_store store(settings_of(raw.port(), long_timeout));
             expect_unknown(store);
@@ -179,10 +179,10 @@
             [&](const std::string& request)
             {
                 if (request.find(protocol::swap_path) == std::string::npos)
-                    return test::raw_response{test::http_text(
+                    return test::scripted_response{test::http_text(
                         "200 OK", pack_value(protocol::entries_response()))};
                 ++writes;
-                return test::raw_response{"", true};
+                return test::scripted_response{"", true};
             });
         http_kv_store store(settings_of(raw.port(), long_timeout));
         store.get("claims/1");
@@ -198,8 +198,8 @@
             [&](const std::string&)
             {
                 if (++reads == 2)
-                    return test::raw_response{"", true};
-                return test::raw_response{test::http_text(
+                    return test::scripted_response{"", true};
+                return test::scripted_response{test::http_text(
                     "200 OK", pack_value(protocol::entries_response()))};
             });
         http_kv_store store(settings_of(raw.port(), long_timeout));
--- /dev/null
+++ b/test/support/edge_fixture.hpp
@@ -0,0 +1,150 @@
+#ifndef PARSLEYPLANK_TEST_SUPPORT_EDGE_FIXTURE_HPP
+#define PARSLEYPLANK_TEST_SUPPORT_EDGE_FIXTURE_HPP
+
+// A traffic plane on loopback whose backend servers are raw servers, with one
+// idempotent and one at-most-once route.
+
+#include <parsleyplank/edge/traffic_plane.hpp>
+
+#include <platform/adapter.hpp>
+#include <support/raw_connection.hpp>
+#include <support/raw_server.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace parsleyplank::test
+{
+
+// Returns a port of loopback that was free a moment ago.
+inline std::uint16_t free_port()
+{
+    proxy::asio::io_context io;
+    const proxy::tcp::acceptor probe(
+        io, {proxy::asio::ip::address_v4::loopback(), 0});
+    return probe.local_endpoint().port();
+}
+
+// Returns the value of a header of a request in text form.
+inline std::string header_of(const std::string& request,
+                             const std::string& name)
+{
+    const auto at = request.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return {};
+    const auto from = at + name.size() + 4;
+    return request.substr(from, request.find("\r\n", from) - from);
+}
+
+// Returns a complete response that echoes the id of the request.
+inline std::string echo_response(const std::string& request,
+                                 const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nParsleyplank-Request-Id: " +
+           header_of(request, "Parsleyplank-Request-Id") +
+           "\r\nParsleyplank-Response-Seal: seal\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+class edge_fixture
+{
+public:
+    edge_fixture() : adapter(platform::make_adapter())
+    {
+        config.id = instance_id("edge-1");
+        config.region = region_id("oslo");
+        config.domain = failure_domain_id("oslo-a");
+        config.address = "127.0.0.1";
+        config.callers = {"127.0.0.1", free_port()};
+        config.readiness = {"127.0.0.1", free_port()};
+        config.directory = {"127.0.0.1", free_port()};
+        plane =
+            std::make_unique<edge::traffic_plane>(config, adapter, counters);
+    }
+
+    // Adds a server of the service; call before publish().
+    raw_server& add_server(raw_server::responder respond)
+    {
+        servers.push_back(std::make_unique<raw_server>(std::move(respond)));
+        steering::backend_server it;
+        it.id = backend_server_id("server-" + std::to_string(servers.size()));
+        it.service = service_id("parts");
+        it.endpoint = {"127.0.0.1", servers.back()->port()};
+        it.domain = config.domain;
+        it.region = config.region;
+        it.slots = 4;
+        described.push_back(
+            std::make_shared<const steering::backend_server>(it));
+        return *servers.back();
+    }
+
+    void publish(std::uint64_t version = 1)
+    {
+        auto traffic = std::make_shared<steering::traffic_config>();
+        traffic->version = epoch(version);
+        traffic->keys_required = true;
+        traffic->services.push_back(
+            {service_id("parts"), "/healthz", 100, milliseconds(0), 0});
+        traffic->customers.push_back({customer_id("shop"),
+                                      {"key-1"},
+                                      0,
+                                      token_rate(1'000),
+                                      tokens(1'000),
+                                      {}});
+        traffic->routes.push_back(make_route("read", true));
+        traffic->routes.push_back(make_route("order", false));
+        auto next = std::make_shared<edge::steering_snapshot>();
+        next->routing = std::make_shared<const steering::routing_table>(
+            steering::make_routing_table(traffic));
+        next->servers[service_id("parts")] = described;
+        next->members.push_back({config.id, config.domain, config.region});
+        next->instances.push_back(
+            {config.id, config.callers, config.domain, config.region});
+        next->shares[customer_id("shop")] = {token_rate(1'000), tokens(1'000)};
+        plane->publish(next);
+    }
+
+    // Returns the text of a request.
+    static std::string request(const std::string& method,
+                               const std::string& path, const std::string& id,
+                               const std::string& more = "",
+                               const std::string& body = "",
+                               const std::string& key = "key-1")
+    {
+        const auto length =
+            body.empty()
+                ? ""
+                : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        return method + " " + path +
+               " HTTP/1.1\r\nHost: shop.example\r\nParsleyplank-Request-Id: " +
+               id + "\r\nParsleyplank-Deadline-Ms: 10000\r\nApi-Key: " + key +
+               "\r\n" + more + length + "\r\n" + body;
+    }
+
+    edge::settings config;
+    edge::adapter adapter;
+    telemetry::metrics counters;
+    std::vector<std::unique_ptr<raw_server>> servers;
+    std::vector<steering::server_ptr> described;
+    std::unique_ptr<edge::traffic_plane> plane;
+
+private:
+    static steering::traffic_route make_route(const std::string& name,
+                                              bool idempotent)
+    {
+        steering::traffic_route route;
+        route.id = route_id(name);
+        route.host = "shop.example";
+        route.path_prefix = "/" + name + "/";
+        route.repeat = idempotent ? steering::repeat_rule::idempotent
+                                  : steering::repeat_rule::at_most_once;
+        route.services = {{service_id("parts"), 1}};
+        route.max_attempts = 2;
+        return route;
+    }
+};
+
+} // namespace parsleyplank::test
+
+#endif
