Slow the moves between regions to what a test of a burst allows

The growth of 0.06 a second broke the cap in the test of a burst (objects move in steps of a 24th); 0.05 keeps it.

--- a/src/steering/region_shift.hpp
+++ b/src/steering/region_shift.hpp
@@ -17,7 +17,7 @@
 {
     // Part of the requests by which the part that moves may change per second:
     // half of a cap over two seconds, less what chance adds.
-    double growth_per_s = 0.06;
+    double growth_per_s = 0.05;
     double fall_per_s = 0.04;
     // The part that would be served sooner elsewhere is an average over about
     // this time.
