Pass changes of the store on between instances of a large fleet

Change: from 16 instances on, one of each region watches the store; the others watch it through that peer, by the project's own store protocol, and return to the store if the peer fails.

--- /dev/null
+++ b/src/edge/change_relay.cpp
@@ -0,0 +1,173 @@
+#include <parsleyplank/edge/change_relay.hpp>
+#include <parsleyplank/store/store_protocol.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace parsleyplank::edge
+{
+
+namespace
+{
+
+namespace protocol = store::protocol;
+
+// Batches of changes that are kept for peers that are behind.
+constexpr std::size_t most_batches = 256;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_gone = 410;
+constexpr unsigned status_unavailable = 503;
+
+void answer(proxy::exchange& ex, const store::list_result& result)
+{
+    protocol::entries_response body;
+    body.store_revision = result.store_revision;
+    std::ranges::transform(
+        result.entries, std::back_inserter(body.entries),
+        [](const store::entry& it) {
+            return protocol::wire_entry{it.key, it.value, it.key_revision};
+        });
+    proxy::respond(ex, proxy::make_response(status_ok, pack_value(body)));
+}
+
+} // namespace
+
+void change_relay::take_listing(const store::list_result& all)
+{
+    keys.clear();
+    for (const auto& it : all.entries)
+        keys[it.key] = it;
+    // What was removed meanwhile is not known, so peers have to list as well.
+    recent.clear();
+    current = all.store_revision;
+    oldest = current;
+    wake();
+}
+
+void change_relay::take_changes(const store::list_result& changes)
+{
+    current = changes.store_revision;
+    if (changes.entries.empty())
+        return;
+    for (const auto& it : changes.entries)
+        if (it.key_revision == revision(0))
+            keys.erase(it.key);
+        else
+            keys[it.key] = it;
+    recent.push_back(changes);
+    if (recent.size() > most_batches)
+    {
+        oldest = recent.front().store_revision;
+        recent.pop_front();
+    }
+    wake();
+}
+
+store::list_result change_relay::changes_after(const std::string& prefix,
+                                               revision after) const
+{
+    store::list_result result{{}, current};
+    for (const auto& batch : recent)
+        if (batch.store_revision > after)
+            std::ranges::copy_if(batch.entries,
+                                 std::back_inserter(result.entries),
+                                 [&](const store::entry& it)
+                                 { return it.key.starts_with(prefix); });
+    return result;
+}
+
+void change_relay::serve(const proxy::exchange_ptr& ex, time_point now)
+{
+    try
+    {
+        if (current == revision(0))
+            proxy::respond(*ex, proxy::make_response(status_unavailable,
+                                                     "nothing known yet"));
+        else if (ex->request.target() == protocol::list_path)
+            serve_listing(ex);
+        else if (ex->request.target() == protocol::watch_path)
+            serve_watch(ex, now);
+        else
+            proxy::respond(
+                *ex, proxy::make_response(status_not_found, "no such path"));
+    }
+    catch (const codec_error& ec)
+    {
+        proxy::respond(*ex,
+                       proxy::make_response(status_bad_request, ec.what()));
+    }
+}
+
+void change_relay::serve_listing(const proxy::exchange_ptr& ex)
+{
+    const auto request = unpack_value<protocol::read_request>(
+        ex->request.body(), protocol::list_path);
+    store::list_result result{{}, current};
+    for (const auto& [key, it] : keys)
+        if (key.starts_with(request.key))
+            result.entries.push_back(it);
+    answer(*ex, result);
+}
+
+void change_relay::serve_watch(const proxy::exchange_ptr& ex, time_point now)
+{
+    const auto request = unpack_value<protocol::watch_request>(
+        ex->request.body(), protocol::watch_path);
+    if (request.after < oldest)
+    {
+        proxy::respond(*ex, proxy::make_response(status_gone, "list again"));
+        return;
+    }
+    auto changes = changes_after(request.prefix, request.after);
+    if (!changes.entries.empty())
+    {
+        answer(*ex, changes);
+        return;
+    }
+    // Longer waits are cut; the peer asks again.
+    constexpr std::uint64_t longest_ms = 30'000;
+    watches.push_back(
+        {ex, request.prefix, request.after,
+         now + milliseconds(std::min(request.wait_ms, longest_ms))});
+}
+
+void change_relay::wake()
+{
+    std::erase_if(watches,
+                  [&](const waiting_watch& it)
+                  {
+                      if (it.ex->cancelled)
+                          return true;
+                      if (it.after < oldest)
+                      {
+                          proxy::respond(
+                              *it.ex,
+                              proxy::make_response(status_gone, "list again"));
+                          return true;
+                      }
+                      const auto changes = changes_after(it.prefix, it.after);
+                      if (changes.entries.empty())
+                          return false;
+                      answer(*it.ex, changes);
+                      return true;
+                  });
+}
+
+void change_relay::expire(time_point now)
+{
+    std::erase_if(watches,
+                  [&](const waiting_watch& it)
+                  {
+                      if (it.ex->cancelled)
+                          return true;
+                      if (now < it.until)
+                          return false;
+                      answer(*it.ex, {{}, current});
+                      return true;
+                  });
+}
+
+} // namespace parsleyplank::edge
--- /dev/null
+++ b/src/edge/change_relay.hpp
@@ -0,0 +1,61 @@
+#ifndef PARSLEYPLANK_EDGE_CHANGE_RELAY_HPP
+#define PARSLEYPLANK_EDGE_CHANGE_RELAY_HPP
+
+// Passes the keys of the store on to peers, so that in a large fleet only a few
+// instances watch the store. Answers the listings and watches of the project's
+// own store protocol (docs/STORE-PROTOCOL.md) from a copy of the keys. Belongs
+// to the control thread.
+
+#include <parsleyplank/proxy/messages.hpp>
+#include <parsleyplank/store/kv_store.hpp>
+
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+
+namespace parsleyplank::edge
+{
+
+class change_relay
+{
+public:
+    // Replaces the copy.
+    void take_listing(const store::list_result& all);
+
+    // Applies changes; entries of revision 0 are removals.
+    void take_changes(const store::list_result& changes);
+
+    // Answers a listing at once, a watch when something has changed or its wait
+    // is over.
+    void serve(const proxy::exchange_ptr& ex, time_point now);
+
+    // Answers watches whose wait is over.
+    void expire(time_point now);
+
+private:
+    struct waiting_watch
+    {
+        proxy::exchange_ptr ex;
+        std::string prefix;
+        revision after;
+        time_point until;
+    };
+
+    void serve_listing(const proxy::exchange_ptr& ex);
+    void serve_watch(const proxy::exchange_ptr& ex, time_point now);
+    store::list_result changes_after(const std::string& prefix,
+                                     revision after) const;
+    void wake();
+
+    std::map<std::string, store::entry> keys;
+    revision current;
+    // Changes after this revision are kept.
+    revision oldest;
+    std::deque<store::list_result> recent;
+    std::list<waiting_watch> watches;
+};
+
+} // namespace parsleyplank::edge
+
+#endif
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -70,6 +70,10 @@
       self(describe_self(config)), lease(std::make_shared<store::lease_id>())
 {
     fleet.self = config.id;
+    relay_listener = std::make_unique<proxy::front_listener>(
+        io, steering::server_endpoint{config.address, config.peer_port},
+        proxy::front_options{},
+        [this](const proxy::exchange_ptr& ex) { relay.serve(ex, now()); });
     const auto post = [this](auto call)
     {
         proxy::asio::post(io, std::move(call));
@@ -88,8 +92,11 @@
                                { take_changes(changes); });
                       },
                       [this, post](const std::string& problem)
+                      { post([this, problem] { store_lost(problem); }); },
+                      [this](const std::string& problem)
                       {
-                          post([this, problem] { store_lost(problem); });
+                          LOG4CPLUS_WARN(log, "event=relay_lost detail=\""
+                                                  << problem << '"');
                       }});
 }
 
@@ -148,6 +155,33 @@
         relist();
 }
 
+bool control_plane::store_reached() const
+{
+    return heard_at != time_point{} && now() - heard_at < options.relay_silence;
+}
+
+// Takes the changes from the instance of this region that watches the store.
+void control_plane::choose_feeder(const std::vector<const peer_state*>& live)
+{
+    std::vector<instance_id> able;
+    if (store_reached())
+        able.push_back(self.id);
+    for (const auto* it : live)
+        if (it->record.region == self.region && it->digest.store_reached)
+            able.push_back(it->record.id);
+    const auto* feeder = rendezvous_first("store feeder", able);
+    const bool direct = live.size() + 1 < options.relay_from ||
+                        feeder == nullptr || *feeder == self.id;
+    if (direct)
+    {
+        feed->watch_peer(std::nullopt);
+        return;
+    }
+    const auto& record = fleet.peers.at(*feeder).record;
+    feed->watch_peer(
+        steering::server_endpoint{record.address, record.peer_port});
+}
+
 void control_plane::poll_revision()
 {
     if (now() - polled < options.revision_poll)
@@ -183,6 +217,7 @@
         return;
     applied = all.store_revision;
     note_revision(applied);
+    relay.take_listing(all);
     std::set<std::string> present;
     for (const auto& it : all.entries)
     {
@@ -229,6 +264,7 @@
         return;
     applied = changes.store_revision;
     note_revision(applied);
+    relay.take_changes(changes);
     const auto is_removed_server = [&](const store::entry& it)
     {
         return it.key_revision == revision(0) &&
@@ -446,6 +482,7 @@
                          self.started_ms,
                          ++digest_number,
                          drain_began.has_value(),
+                         store_reached(),
                          applied,
                          {},
                          {}};
@@ -514,8 +551,11 @@
     shared_demands = std::exchange(last_report, report).demands;
     keep_registered();
     forget_gone(fleet, options.fleet, now());
+    relay.expire(now());
+    const auto live = live_peers(fleet, options.fleet, now());
+    choose_feeder(live);
     std::vector<instance_id> ids{self.id};
-    for (const auto* peer : live_peers(fleet, options.fleet, now()))
+    for (const auto* peer : live)
         ids.push_back(peer->record.id);
     const auto* poller = rendezvous_first("store revision", ids);
     if (poller != nullptr && *poller == self.id)
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -5,6 +5,7 @@
 // instance, exchanges digests with its peers, steps rollouts, and publishes
 // snapshots to the traffic thread.
 
+#include <parsleyplank/edge/change_relay.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/edge/rollout_control.hpp>
 #include <parsleyplank/edge/store_feed.hpp>
@@ -40,6 +41,13 @@
     milliseconds removal_hold{2'100};
     // Time after an outage of the store in which removals are held.
     milliseconds outage_memory{3'000};
+    // From this number of instances on, one of each region watches the store
+    // and passes changes on: calls of all would grow with instances times
+    // changes.
+    std::size_t relay_from = 16;
+    // Time without a word of the store after which an instance does not pass
+    // changes on.
+    milliseconds relay_silence{3'000};
     // Interval at which one instance of the fleet asks the store for its
     // revision, since a watch may miss changes without ending.
     milliseconds revision_poll{1'000};
@@ -79,6 +87,8 @@
     void settle_removals_in_time();
 
     // Finds out whether the watch has missed changes.
+    void choose_feeder(const std::vector<const peer_state*>& live);
+    bool store_reached() const;
     void poll_revision();
     void note_revision(revision seen);
     void relist();
@@ -133,6 +143,9 @@
     std::uint64_t digest_number = 0;
     bool publish_pending = false;
 
+    change_relay relay;
+    std::unique_ptr<proxy::front_listener> relay_listener;
+
     time_point heard_at{};
     time_point lost_at{};
     bool store_away = false;
--- a/src/edge/fleet_view.hpp
+++ b/src/edge/fleet_view.hpp
@@ -69,6 +69,8 @@
     std::uint64_t number = 0;
     // The instance takes no further callers.
     bool leaving = false;
+    // The instance has heard from the store lately.
+    bool store_reached = false;
     // Revision of the store up to which the instance knows all changes.
     revision store_revision;
     std::vector<customer_demand> demands;
@@ -76,8 +78,8 @@
 
     bool operator==(const member_digest&) const = default;
 
-    MSGPACK_DEFINE_ARRAY(id, started_ms, number, leaving, store_revision,
-                         demands, rollouts)
+    MSGPACK_DEFINE_ARRAY(id, started_ms, number, leaving, store_reached,
+                         store_revision, demands, rollouts)
 };
 
 // Returns the number that stands for a customer in digests.
--- a/src/edge/store_feed.cpp
+++ b/src/edge/store_feed.cpp
@@ -1,4 +1,5 @@
 #include <parsleyplank/edge/store_feed.hpp>
+#include <parsleyplank/store/http_kv_store.hpp>
 
 #include <algorithm>
 
@@ -50,9 +51,56 @@
     handlers.listed(std::move(all));
 }
 
+void store_feed::watch_peer(
+    const std::optional<steering::server_endpoint>& next)
+{
+    const std::lock_guard lock(guard);
+    chosen_peer = next;
+}
+
+store::kv_store* store_feed::peer_source()
+{
+    std::optional<steering::server_endpoint> wanted;
+    {
+        const std::lock_guard lock(guard);
+        wanted = chosen_peer;
+    }
+    if (!wanted || std::chrono::steady_clock::now() < peer_paused_until)
+        return nullptr;
+    if (wanted != open_peer)
+    {
+        store::http_settings where;
+        where.address = wanted->address;
+        where.port = wanted->port;
+        where.silence_timeout = options.peer_silence;
+        peer = std::make_unique<store::http_kv_store>(where);
+        open_peer = wanted;
+    }
+    return peer.get();
+}
+
 void store_feed::watch()
 {
-    auto changes = source->watch(prefix, known, options.watch_wait);
+    auto* const relay = peer_source();
+    if (relay == nullptr)
+    {
+        take(source->watch(prefix, known, options.watch_wait));
+        return;
+    }
+    try
+    {
+        take(relay->watch(prefix, known, options.peer_wait));
+    }
+    catch (const error& ec)
+    {
+        handlers.peer_lost(ec.what());
+        peer_paused_until =
+            std::chrono::steady_clock::now() + options.peer_pause;
+    }
+}
+
+void store_feed::take(store::list_result changes)
+{
     known = std::max(known, changes.store_revision);
     const bool any = !changes.entries.empty();
     handlers.changed(std::move(changes));
--- a/src/edge/store_feed.hpp
+++ b/src/edge/store_feed.hpp
@@ -2,13 +2,17 @@
 #define PARSLEYPLANK_EDGE_STORE_FEED_HPP
 
 // Follows the keys of the store on a thread of its own: one listing, then
-// watches from its revision on.
+// watches from its revision on. Watches a peer that passes the changes on
+// instead, if there is one.
 
+#include <parsleyplank/steering/server_registry.hpp>
 #include <parsleyplank/store/lease_store.hpp>
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -23,6 +27,12 @@
     milliseconds gather{60};
     // Pause after a failure.
     milliseconds retry{300};
+    // One watch of a peer waits this long.
+    milliseconds peer_wait{10'000};
+    // A peer that has failed is not asked again for this time.
+    milliseconds peer_pause{2'000};
+    // Silence on a connection to a peer after which it counts as broken.
+    milliseconds peer_silence{2'000};
 };
 
 // Called on the feed's thread.
@@ -33,6 +43,8 @@
     // Keys that changed; those of revision 0 are gone.
     std::function<void(store::list_result)> changed;
     std::function<void(const std::string& problem)> lost;
+    // A peer did not answer; the store is asked instead.
+    std::function<void(const std::string& problem)> peer_lost;
 };
 
 class store_feed
@@ -43,6 +55,10 @@
                feed_options options, feed_handlers handlers);
     ~store_feed();
 
+    // Chooses the peer to watch from the next watch on, or none. Any thread may
+    // call.
+    void watch_peer(const std::optional<steering::server_endpoint>& peer);
+
     store_feed(const store_feed&) = delete;
     store_feed& operator=(const store_feed&) = delete;
 
@@ -50,6 +66,9 @@
     void run();
     void list();
     void watch();
+    void take(store::list_result changes);
+    // Returns the chosen peer, or nullptr.
+    store::kv_store* peer_source();
 
     std::unique_ptr<store::lease_store> source;
     std::string prefix;
@@ -57,6 +76,11 @@
     feed_handlers handlers;
     // Revision up to which changes are known; 0 before the first listing.
     revision known;
+    std::mutex guard;
+    std::optional<steering::server_endpoint> chosen_peer;
+    std::optional<steering::server_endpoint> open_peer;
+    std::unique_ptr<store::kv_store> peer;
+    time_point peer_paused_until{};
     std::atomic<bool> stopping{false};
     std::thread thread;
 };
--- a/src/store/http_kv_store.cpp
+++ b/src/store/http_kv_store.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr int status_ok = 200;
+constexpr int status_gone = 410;
 
 // The message of an unexpected status: the start of the body names the cause.
 std::string describe(const std::string& authority, const std::string& path,
@@ -63,6 +64,8 @@
         if (response.status == status_ok)
             return std::move(response.body);
         ++calls.unavailable;
+        if (response.status == status_gone)
+            throw history_lost(describe(http.authority(), path, response));
         throw store_unavailable(describe(http.authority(), path, response));
     }
     catch (const transfer_error& ec)
--- a/src/store/kv_store.hpp
+++ b/src/store/kv_store.hpp
@@ -6,6 +6,7 @@
 // own, never on the control thread.
 
 #include <parsleyplank/core/clock.hpp>
+#include <parsleyplank/core/error.hpp>
 #include <parsleyplank/core/ids.hpp>
 
 #include <optional>
@@ -18,6 +19,13 @@
 // Largest value that the store takes, in bytes.
 inline constexpr std::size_t max_value_bytes = 1'000'000;
 
+// The history after the revision of a watch is no longer kept: list again.
+class history_lost : public error
+{
+public:
+    using error::error;
+};
+
 struct entry
 {
     std::string key;
@@ -73,7 +81,8 @@
 
     // Waits until a key with the prefix changes after the given store revision
     // or the wait is over, and returns the changed entries. The store counts a
-    // waiting watch as one call. Throws store_unavailable.
+    // waiting watch as one call. Throws store_unavailable, or history_lost if
+    // the changes since that revision are no longer known.
     virtual list_result watch(const std::string& prefix, revision after,
                               milliseconds wait) = 0;
 };
--- a/src/store/lease_store.hpp
+++ b/src/store/lease_store.hpp
@@ -4,7 +4,6 @@
 // A key-value store that also has leases and transactions. Like kv_store, every
 // call blocks until it is answered or times out.
 
-#include <parsleyplank/core/error.hpp>
 #include <parsleyplank/store/kv_store.hpp>
 
 #include <string>
@@ -16,13 +15,6 @@
 // A lease; 0 means none.
 using lease_id = number_id<struct lease_tag>;
 
-// The history after the revision of a watch is no longer kept: list again.
-class history_lost : public error
-{
-public:
-    using error::error;
-};
-
 struct expected_revision
 {
     std::string key;
