--- /dev/null
+++ b/test/correctness/edge_change_relay.cpp
@@ -0,0 +1,124 @@
+// Guards the relay of changes: a peer that watches through it misses nothing
+// and is told to list again when it can't be brought up to date.
+
+#include <parsleyplank/edge/change_relay.hpp>
+#include <parsleyplank/store/store_protocol.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace parsleyplank;
+using namespace parsleyplank::edge;
+namespace protocol = parsleyplank::store::protocol;
+
+namespace
+{
+
+class edge_change_relay : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(edge_change_relay);
+    CPPUNIT_TEST(says_so_while_it_knows_nothing);
+    CPPUNIT_TEST(a_listing_holds_what_changes_left);
+    CPPUNIT_TEST(a_watch_waits_for_the_next_change);
+    CPPUNIT_TEST(a_watch_gets_what_it_missed_removals_included);
+    CPPUNIT_TEST(a_watch_from_before_a_listing_has_to_list_again);
+    CPPUNIT_TEST(damaged_requests_are_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+    const time_point start{std::chrono::hours(1)};
+    change_relay relay;
+
+    static store::entry entry(const std::string& key, std::uint64_t at)
+    {
+        return {key, at == 0 ? "" : "v" + std::to_string(at), revision(at)};
+    }
+
+    proxy::exchange_ptr send(const std::string& path, const std::string& body)
+    {
+        const auto ex = std::make_shared<proxy::exchange>();
+        ex->request.target(path);
+        ex->request.body() = body;
+        relay.serve(ex, start);
+        return ex;
+    }
+
+    proxy::exchange_ptr watch(std::uint64_t after)
+    {
+        return send(protocol::watch_path, pack_value(protocol::watch_request{
+                                              "", revision(after), 5'000}));
+    }
+
+    static protocol::entries_response body_of(const proxy::exchange& ex)
+    {
+        CPPUNIT_ASSERT(ex.response.has_value());
+        CPPUNIT_ASSERT_EQUAL(200U, ex.response->result_int());
+        return unpack_value<protocol::entries_response>(ex.response->body(),
+                                                        "relay");
+    }
+
+public:
+    void says_so_while_it_knows_nothing()
+    {
+        const auto ex = watch(0);
+        CPPUNIT_ASSERT_EQUAL(503U, ex->response->result_int());
+    }
+
+    void a_listing_holds_what_changes_left()
+    {
+        relay.take_listing({{entry("a", 1), entry("b", 2)}, revision(5)});
+        relay.take_changes({{entry("a", 0), entry("c", 7)}, revision(7)});
+        const auto body = body_of(
+            *send(protocol::list_path, pack_value(protocol::read_request{""})));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), body.entries.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), body.entries.front().key);
+        CPPUNIT_ASSERT(body.store_revision == revision(7));
+    }
+
+    void a_watch_waits_for_the_next_change()
+    {
+        relay.take_listing({{entry("a", 1)}, revision(5)});
+        const auto ex = watch(5);
+        CPPUNIT_ASSERT(!ex->response);
+        relay.take_changes({{entry("a", 6)}, revision(6)});
+        CPPUNIT_ASSERT_EQUAL(std::string("v6"),
+                             body_of(*ex).entries.front().value);
+        const auto idle = watch(6);
+        relay.expire(start + milliseconds(4'999));
+        CPPUNIT_ASSERT(!idle->response);
+        relay.expire(start + milliseconds(5'000));
+        CPPUNIT_ASSERT(body_of(*idle).entries.empty());
+    }
+
+    void a_watch_gets_what_it_missed_removals_included()
+    {
+        relay.take_listing({{entry("a", 1)}, revision(5)});
+        relay.take_changes({{entry("b", 6)}, revision(6)});
+        relay.take_changes({{entry("a", 0)}, revision(7)});
+        const auto body = body_of(*watch(5));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), body.entries.size());
+        CPPUNIT_ASSERT(body.entries.back().key_revision == revision(0));
+        CPPUNIT_ASSERT(body.store_revision == revision(7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), body_of(*watch(6)).entries.size());
+    }
+
+    // What was removed before a listing is not in it.
+    void a_watch_from_before_a_listing_has_to_list_again()
+    {
+        relay.take_listing({{entry("a", 1)}, revision(5)});
+        const auto waiting = watch(5);
+        relay.take_listing({{}, revision(9)});
+        CPPUNIT_ASSERT_EQUAL(410U, waiting->response->result_int());
+        CPPUNIT_ASSERT_EQUAL(410U, watch(6)->response->result_int());
+    }
+
+    void damaged_requests_are_refused()
+    {
+        relay.take_listing({{}, revision(5)});
+        CPPUNIT_ASSERT_EQUAL(
+            400U, send(protocol::watch_path, "x")->response->result_int());
+        CPPUNIT_ASSERT_EQUAL(404U, send("/other", "")->response->result_int());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(edge_change_relay);
+
+} // namespace
--- /dev/null
+++ b/test/correctness/edge_fleet.cpp
@@ -0,0 +1,211 @@
+// Guards the view of the fleet: a killed instance is named no longer, and a
+// store that is away takes no live instance out. Also the registrations of
+// servers and the configuration that routes.
+
+#include <parsleyplank/core/error.hpp>
+#include <parsleyplank/edge/fleet_view.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace parsleyplank;
+using namespace parsleyplank::edge;
+
+namespace
+{
+
+class edge_fleet : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(edge_fleet);
+    CPPUNIT_TEST(a_silent_peer_is_not_live);
+    CPPUNIT_TEST(a_peer_outlives_its_registration_while_it_is_heard);
+    CPPUNIT_TEST(a_leaving_peer_is_not_live_until_it_starts_again);
+    CPPUNIT_TEST(an_instance_that_hears_nobody_keeps_to_the_list);
+    CPPUNIT_TEST(callers_are_sent_to_the_nearest_instances);
+    CPPUNIT_TEST(servers_that_lapsed_in_an_outage_are_held);
+    CPPUNIT_TEST(an_old_report_does_not_replace_a_newer_one);
+    CPPUNIT_TEST(the_longest_prefix_of_the_host_routes);
+    CPPUNIT_TEST(a_configuration_with_a_shared_key_is_rejected);
+    CPPUNIT_TEST_SUITE_END();
+
+    const time_point start{std::chrono::hours(1)};
+    const fleet_options options{};
+    fleet_view fleet{instance_id("self"), {}};
+    std::uint64_t number = 0;
+
+    static member_record record(const std::string& id, std::uint64_t started)
+    {
+        member_record it;
+        it.id = instance_id(id);
+        it.started_ms = started;
+        return it;
+    }
+
+    void hear(const std::string& id, time_point now, bool leaving = false,
+              std::uint64_t started = 1)
+    {
+        member_digest digest;
+        digest.id = instance_id(id);
+        digest.started_ms = started;
+        digest.number = ++number;
+        digest.leaving = leaving;
+        CPPUNIT_ASSERT(take_digest(fleet, digest, now));
+    }
+
+    std::size_t live(time_point now)
+    {
+        return live_peers(fleet, options, now).size();
+    }
+
+public:
+    void a_silent_peer_is_not_live()
+    {
+        put_member(fleet, record("a", 1), start);
+        put_member(fleet, record("b", 1), start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), live(start));
+        hear("a", start);
+        hear("b", start);
+        const auto later = start + options.silence;
+        hear("b", later);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), live(later));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), live(later + milliseconds(1)));
+    }
+
+    void a_peer_outlives_its_registration_while_it_is_heard()
+    {
+        put_member(fleet, record("a", 1), start);
+        hear("a", start);
+        remove_member(fleet, instance_id("a"));
+        forget_gone(fleet, options, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), live(start));
+        forget_gone(fleet, options, start + milliseconds(5'000));
+        CPPUNIT_ASSERT(fleet.peers.empty());
+    }
+
+    void a_leaving_peer_is_not_live_until_it_starts_again()
+    {
+        put_member(fleet, record("a", 1), start);
+        hear("a", start, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), live(start));
+        put_member(fleet, record("a", 2), start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), live(start));
+    }
+
+    void an_instance_that_hears_nobody_keeps_to_the_list()
+    {
+        put_member(fleet, record("a", 1), start);
+        put_member(fleet, record("b", 1), start);
+        hear("a", start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                             live(start + milliseconds(10'000)));
+    }
+
+    void callers_are_sent_to_the_nearest_instances()
+    {
+        using namespace parsleyplank::steering;
+        const std::vector<directory_instance> all{
+            {instance_id("a"),
+             {"10.0.0.1", 1},
+             failure_domain_id("oslo-a"),
+             region_id("oslo")},
+            {instance_id("b"),
+             {"10.0.0.2", 1},
+             failure_domain_id("oslo-b"),
+             region_id("oslo")},
+            {instance_id("c"),
+             {"10.0.0.3", 1},
+             failure_domain_id("bergen-a"),
+             region_id("bergen")}};
+        const auto addresses =
+            [&](const std::string& domain, const std::string& region)
+        {
+            return choose_instances(all, failure_domain_id(domain),
+                                    region_id(region));
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.2"),
+                             addresses("oslo-b", "oslo").front().address);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                             addresses("oslo-c", "oslo").size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), addresses("x", "y").size());
+    }
+
+    void servers_that_lapsed_in_an_outage_are_held()
+    {
+        using namespace parsleyplank::steering;
+        server_registry registry;
+        backend_server it;
+        it.id = backend_server_id("s");
+        put_server(registry, it);
+        const auto due = start + milliseconds(2'000);
+        CPPUNIT_ASSERT(!remove_server(registry, it.id, due, start));
+        put_server(registry, it);
+        CPPUNIT_ASSERT(!settle_removals(registry, due));
+        CPPUNIT_ASSERT(!remove_server(registry, it.id, due, start));
+        CPPUNIT_ASSERT(settle_removals(registry, due));
+        CPPUNIT_ASSERT(registry.servers.empty());
+    }
+
+    void an_old_report_does_not_replace_a_newer_one()
+    {
+        using namespace parsleyplank::steering;
+        server_registry registry;
+        backend_server it;
+        it.id = backend_server_id("s");
+        it.started_ms = 100;
+        it.sequence = 4;
+        it.draining = true;
+        CPPUNIT_ASSERT(put_server(registry, it));
+        it.sequence = 3;
+        it.draining = false;
+        CPPUNIT_ASSERT(!put_server(registry, it));
+        // A new process counts anew.
+        it.started_ms = 200;
+        it.sequence = 1;
+        CPPUNIT_ASSERT(put_server(registry, it));
+    }
+
+    static std::shared_ptr<steering::traffic_config> two_routes()
+    {
+        auto config = std::make_shared<steering::traffic_config>();
+        config->services.push_back({service_id("s"), "/h", 1, {}, 0});
+        for (const auto* const prefix : {"/a/", "/a/b/"})
+        {
+            steering::traffic_route route;
+            route.id = route_id(prefix);
+            route.host = "h.example";
+            route.path_prefix = prefix;
+            route.services = {{service_id("s"), 1}};
+            config->routes.push_back(route);
+        }
+        return config;
+    }
+
+    void the_longest_prefix_of_the_host_routes()
+    {
+        const auto table = steering::make_routing_table(two_routes());
+        const auto* const long_one =
+            steering::find_route(table, "h.example:80", "/a/b/c?x=/a/");
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), long_one->id.value);
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("/a/"),
+            steering::find_route(table, "h.example", "/a/bc")->id.value);
+        CPPUNIT_ASSERT(!steering::find_route(table, "h.example", "/a"));
+        CPPUNIT_ASSERT(!steering::find_route(table, "other", "/a/b/"));
+    }
+
+    void a_configuration_with_a_shared_key_is_rejected()
+    {
+        auto config = two_routes();
+        config->customers.push_back({customer_id("one"), {"k"}, 0, {}, {}, {}});
+        config->customers.push_back({customer_id("two"), {"k"}, 0, {}, {}, {}});
+        CPPUNIT_ASSERT_THROW(steering::make_routing_table(config),
+                             config_error);
+        auto unknown = two_routes();
+        unknown->routes.front().services = {{service_id("none"), 1}};
+        CPPUNIT_ASSERT_THROW(steering::make_routing_table(unknown),
+                             config_error);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(edge_fleet);
+
+} // namespace
--- /dev/null
+++ b/test/correctness/edge_rollout.cpp
@@ -0,0 +1,161 @@
+// Guards rollouts: a bad version gets a small share and is taken back on the
+// evidence of the whole fleet, a good one is done in time, and a record is
+// written once whoever dies in between.
+
+#include <parsleyplank/edge/rollout_control.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace parsleyplank;
+using namespace parsleyplank::edge;
+using steering::rollout_phase;
+
+namespace
+{
+
+class edge_rollout : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(edge_rollout);
+    CPPUNIT_TEST(a_good_version_is_completed_before_its_time);
+    CPPUNIT_TEST(a_bad_version_is_taken_back_and_stays_back);
+    CPPUNIT_TEST(failures_of_all_versions_are_no_evidence);
+    CPPUNIT_TEST(a_version_without_responses_does_not_grow);
+    CPPUNIT_TEST(a_lost_write_is_repeated_and_others_wait_their_turn);
+    CPPUNIT_TEST(a_restarted_instance_goes_on_where_the_fleet_is);
+    CPPUNIT_TEST(old_versions_get_nothing_after_completion);
+    CPPUNIT_TEST_SUITE_END();
+
+    const time_point start{std::chrono::hours(1)};
+    static constexpr std::int64_t wall = 1'000'000;
+    const service_id service{"parts"};
+    const version_id target{"v2"};
+    const rollout_control_options options{};
+
+    rollout_table table;
+    tally_table tallies;
+
+    void order(std::uint64_t at = 5)
+    {
+        take_order(table, {service, target, milliseconds(12'000), revision(at)},
+                   start);
+    }
+
+    std::vector<rollout_write> step(milliseconds after, std::size_t place = 0)
+    {
+        return step_rollouts(table, tallies, {{service, place}}, options,
+                             start + after, wall + after.count());
+    }
+
+    // Has the record of a write come back from the store.
+    void store(const rollout_write& write, std::uint64_t at)
+    {
+        take_record(table, service, write.next, revision(at));
+    }
+
+    share_ppm share()
+    {
+        return policy_of(table[service], {version_id("v1"), target})
+            .target_share;
+    }
+
+public:
+    void a_good_version_is_completed_before_its_time()
+    {
+        order();
+        const auto first = step(milliseconds(0));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.size());
+        CPPUNIT_ASSERT(first.front().next.phase == rollout_phase::running);
+        store(first.front(), 10);
+        CPPUNIT_ASSERT(share().value <= 100'000);
+        tallies[{service, target}] = {{40, 0, 0}, {400, 1, 0}};
+        milliseconds at{500};
+        std::vector<rollout_write> writes;
+        for (; writes.empty() && at < milliseconds(12'000);
+             at += milliseconds(500))
+            writes = step(at);
+        CPPUNIT_ASSERT(!writes.empty());
+        CPPUNIT_ASSERT(writes.front().next.phase == rollout_phase::completed);
+        CPPUNIT_ASSERT(writes.front().expected == revision(10));
+        CPPUNIT_ASSERT(at < milliseconds(11'500));
+        CPPUNIT_ASSERT(share().value == ppm_total);
+    }
+
+    void a_bad_version_is_taken_back_and_stays_back()
+    {
+        order();
+        store(step(milliseconds(0)).front(), 10);
+        tallies[{service, target}] = {{6, 7, 0}, {100, 1, 0}};
+        const auto writes = step(milliseconds(1'500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), writes.size());
+        CPPUNIT_ASSERT(writes.front().next.phase == rollout_phase::rolled_back);
+        CPPUNIT_ASSERT(
+            policy_of(table[service], {target}).rejected.contains(target));
+        store(writes.front(), 11);
+        // The next order must not bring the bad version back.
+        take_order(
+            table,
+            {service, version_id("v3"), milliseconds(12'000), revision(20)},
+            start);
+        CPPUNIT_ASSERT(
+            policy_of(table[service], {target}).rejected.contains(target));
+    }
+
+    // Pattern: answers of all servers are lost while a version is tried.
+    void failures_of_all_versions_are_no_evidence()
+    {
+        order();
+        store(step(milliseconds(0)).front(), 10);
+        tallies[{service, target}] = {{20, 6, 0}, {250, 75, 0}};
+        CPPUNIT_ASSERT(step(milliseconds(1'500)).empty());
+        CPPUNIT_ASSERT(!table[service].fault);
+    }
+
+    void a_version_without_responses_does_not_grow()
+    {
+        order();
+        store(step(milliseconds(0)).front(), 10);
+        CPPUNIT_ASSERT(step(milliseconds(9'000)).empty());
+        CPPUNIT_ASSERT(share() == options.plan.first_share);
+        const auto writes = step(milliseconds(11'600));
+        CPPUNIT_ASSERT(writes.front().next.phase == rollout_phase::rolled_back);
+    }
+
+    void a_lost_write_is_repeated_and_others_wait_their_turn()
+    {
+        order();
+        CPPUNIT_ASSERT(step(milliseconds(0), 2).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             step(milliseconds(1'400), 2).size());
+        CPPUNIT_ASSERT(step(milliseconds(1'500), 2).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             step(milliseconds(2'200), 2).size());
+    }
+
+    void a_restarted_instance_goes_on_where_the_fleet_is()
+    {
+        order();
+        take_record(
+            table, service,
+            {revision(5), target, rollout_phase::running, {}, wall - 9'000},
+            revision(10));
+        tallies[{service, target}] = {{40, 0, 0}, {400, 1, 0}};
+        step(milliseconds(0));
+        CPPUNIT_ASSERT(share().value == ppm_total);
+    }
+
+    void old_versions_get_nothing_after_completion()
+    {
+        order();
+        take_record(table, service,
+                    {revision(5), target, rollout_phase::completed, {}, wall},
+                    revision(10));
+        const auto policy =
+            policy_of(table[service], {version_id("v1"), target});
+        CPPUNIT_ASSERT(policy.rejected.contains(version_id("v1")));
+        CPPUNIT_ASSERT(!policy.rejected.contains(target));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(edge_rollout);
+
+} // namespace
--- a/test/correctness/steering_region_shift.cpp
+++ b/test/correctness/steering_region_shift.cpp
@@ -75,10 +75,10 @@
     // within 2 s).
     void a_poor_region_that_warms_up_calls_its_requests_back_slowly()
     {
-        const auto parts = parts_gone(
-            {0, 0.7, 0.9, 0.5, 0, 0, 0, 0, 0, 0, 0, 0, 0,
-             0, 0,   0,   0,   0, 0, 0, 0, 0, 0, 0, 0, 0},
-            2.0 / 14);
+        const auto parts =
+            parts_gone({0, 0.7, 0.9, 0.5, 0, 0, 0, 0, 0, 0, 0, 0, 0,
+                        0, 0,   0,   0,   0, 0, 0, 0, 0, 0, 0, 0, 0},
+                       2.0 / 14);
         CPPUNIT_ASSERT(largest_change(parts) < cap);
         CPPUNIT_ASSERT(parts.back() < 0.1);
     }
--- /dev/null
+++ b/test/correctness/steering_shares.cpp
@@ -0,0 +1,123 @@
+// Guards the division of fleet-wide limits among instances without a message
+// per request: customers' rates and the rate of cold backend servers.
+
+#include <parsleyplank/steering/cold_share.hpp>
+#include <parsleyplank/steering/customer_share.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+#include <vector>
+
+using namespace parsleyplank;
+using namespace parsleyplank::steering;
+
+namespace
+{
+
+// Returns the sum of the parts that all instances compute from the same
+// demands.
+double sum_of_parts(const std::vector<double>& demands, double rate)
+{
+    double sum = 0;
+    for (std::size_t self = 0; self < demands.size(); ++self)
+    {
+        std::vector<share_party> peers;
+        for (std::size_t i = 0; i < demands.size(); ++i)
+            if (i != self)
+                peers.push_back({demands[i], true});
+        sum += divide_rate(token_rate(rate), tokens(0), demands[self], peers)
+                   .rate.value;
+    }
+    return sum;
+}
+
+class steering_shares : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(steering_shares);
+    CPPUNIT_TEST(parts_of_a_rate_sum_to_the_rate);
+    CPPUNIT_TEST(demand_within_the_rate_is_covered_wherever_it_is);
+    CPPUNIT_TEST(an_isolated_instance_and_its_peers_stay_within_the_rate);
+    CPPUNIT_TEST(a_small_part_admits_one_request);
+    CPPUNIT_TEST(demand_follows_what_is_counted);
+    CPPUNIT_TEST(cold_servers_get_their_rate_from_few_instances);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void parts_of_a_rate_sum_to_the_rate()
+    {
+        for (const auto& demands : std::vector<std::vector<double>>{
+                 {0, 0, 0}, {10, 20, 30}, {500, 1, 1}, {400, 400, 400}})
+            CPPUNIT_ASSERT(std::abs(sum_of_parts(demands, 100) - 100) < 1e-6);
+    }
+
+    // Pattern: all of a customer's callers meet one instance.
+    void demand_within_the_rate_is_covered_wherever_it_is()
+    {
+        const std::vector<share_party> idle(8);
+        CPPUNIT_ASSERT(
+            divide_rate(token_rate(100), tokens(0), 95, idle).rate.value >= 95);
+    }
+
+    void an_isolated_instance_and_its_peers_stay_within_the_rate()
+    {
+        std::vector<share_party> silent(8, share_party{50, false});
+        const auto alone =
+            divide_rate(token_rate(90), tokens(0), 1'000, silent).rate.value;
+        // The others hear each other but not this one.
+        std::vector<share_party> peers(7, share_party{50, true});
+        peers.push_back({0, false});
+        const auto other =
+            divide_rate(token_rate(90), tokens(0), 50, peers).rate.value;
+        CPPUNIT_ASSERT(std::abs(alone + 8 * other - 90) < 1e-6);
+    }
+
+    void a_small_part_admits_one_request()
+    {
+        const std::vector<share_party> many(63);
+        CPPUNIT_ASSERT(
+            divide_rate(token_rate(2), tokens(2), 0, many).burst.value >= 1);
+    }
+
+    void demand_follows_what_is_counted()
+    {
+        demand_meter meter;
+        time_point now{std::chrono::hours(1)};
+        measure_demand(meter, milliseconds(1'500), now);
+        double demand = 0;
+        for (int i = 0; i < 20; ++i)
+        {
+            for (int n = 0; n < 10; ++n)
+                count_demand(meter);
+            now += milliseconds(500);
+            demand = measure_demand(meter, milliseconds(1'500), now);
+        }
+        CPPUNIT_ASSERT(std::abs(demand - 20) < 1);
+    }
+
+    // Pattern: a server comes back cold and all instances meet it at once.
+    void cold_servers_get_their_rate_from_few_instances()
+    {
+        std::vector<fleet_member> members;
+        for (int i = 0; i < 9; ++i)
+            members.push_back({instance_id("e" + std::to_string(i)),
+                               failure_domain_id(i < 2 ? "oslo-a" : "other"),
+                               region_id(i < 3 ? "oslo" : "bergen")});
+        backend_server server;
+        server.id = backend_server_id("s");
+        server.domain = failure_domain_id("oslo-a");
+        server.region = region_id("oslo");
+        double sum = 0;
+        for (const auto& it : members)
+            sum += cold_rate(server, it.id, members, 3.8).value;
+        CPPUNIT_ASSERT(std::abs(sum - 3.8) < 1e-9);
+        CPPUNIT_ASSERT(cold_rate(server, members[0].id, members, 3.8).value >
+                       0);
+        CPPUNIT_ASSERT(cold_rate(server, members[8].id, members, 3.8).value ==
+                       0);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(steering_shares);
+
+} // namespace
