Hold the tokens of small customers at one instance of a region

Ruled out: free passage while the fleet's demand is low, which a surge between two digests would carry past the bound. Change: below two tokens a second and instance, one instance of each region holds the region's part, which follows the regions' demands; the others ask it by datagram and fall back on their own part without an answer. Where the deployment sets strict keys, keyed requests end with 503 once the store has not been heard of for the bound of a withdrawal. Test edge_token_exchange, edge_data_path.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -646,6 +646,39 @@
         next.versions[service] = policy_of(rollout, versions[service]);
 }
 
+// A demand that the peers do not know yet would be added to theirs while all
+// grow at once.
+double control_plane::shared_demand(const customer_id& customer) const
+{
+    const auto it = shared_demands.find(customer);
+    return it == shared_demands.end() ? 0 : it->second;
+}
+
+steering::customer_share
+control_plane::region_share(const steering::traffic_customer& customer,
+                            const steering_snapshot& next) const
+{
+    std::map<region_id, double> demands;
+    for (const auto& it : next.members)
+        demands.try_emplace(it.region, 0);
+    demands[self.region] += shared_demand(customer.id);
+    const auto number = customer_number(customer.id);
+    for (const auto& [id, peer] : fleet.peers)
+    {
+        const auto& reported = peer.digest.demands;
+        const auto it =
+            std::ranges::find(reported, number, &customer_demand::customer);
+        if (it != reported.end() && is_heard(peer, options.fleet, now()))
+            demands[peer.record.region] += it->per_second;
+    }
+    std::vector<steering::share_party> others;
+    for (const auto& [region, demand] : demands)
+        if (region != self.region)
+            others.push_back({demand, true});
+    return steering::divide_rate(customer.rate, customer.burst,
+                                 demands[self.region], others);
+}
+
 void control_plane::update_shares(steering_snapshot& next) const
 {
     if (!routing)
@@ -664,12 +697,11 @@
             parties.push_back({it == demands.end() ? 0 : it->per_second,
                                is_heard(peer, options.fleet, now())});
         }
-        // A demand that the peers do not know yet would be added to theirs
-        // while all grow at once.
-        const auto own = shared_demands.find(customer.id);
         next.shares[customer.id] = steering::divide_rate(
-            customer.rate, customer.burst,
-            own == shared_demands.end() ? 0 : own->second, parties);
+            customer.rate, customer.burst, shared_demand(customer.id), parties);
+        const auto members = static_cast<double>(parties.size()) + 1;
+        if (customer.rate.value < options.least_divided_rate * members)
+            next.region_shares[customer.id] = region_share(customer, next);
     }
 }
 
@@ -681,7 +713,11 @@
     next->draining = drain_began.has_value();
     const auto add = [&](const member_record& it)
     {
-        next->members.push_back({it.id, it.domain, it.region});
+        next->members.push_back(
+            {it.id,
+             it.domain,
+             it.region,
+             {it.address, static_cast<std::uint16_t>(it.peer_port + 1)}});
         next->instances.push_back(
             {it.id, {it.address, it.caller_port}, it.domain, it.region});
     };
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -41,6 +41,9 @@
     milliseconds removal_hold{2'100};
     // Time after an outage of the store in which removals are held.
     milliseconds outage_memory{3'000};
+    // Below this rate per instance, one instance of each region holds a
+    // customer's tokens: parts of a few tokens a second are refused by chance.
+    double least_divided_rate = 2.0;
     // From this number of instances on, one of each region watches the store
     // and passes changes on: calls of all would grow with instances times
     // changes.
@@ -109,6 +112,11 @@
     void publish();
     void publish_soon();
     void update_shares(steering_snapshot& next) const;
+    // Returns the part of this region of a customer's rate.
+    steering::customer_share
+    region_share(const steering::traffic_customer& customer,
+                 const steering_snapshot& next) const;
+    double shared_demand(const customer_id& customer) const;
     void update_servers(steering_snapshot& next);
 
     void begin_drain();
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -1,3 +1,4 @@
+#include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/edge/request_flow.hpp>
 
 #include <algorithm>
@@ -127,10 +128,22 @@
     return admit_customer();
 }
 
+bool request_flow::keys_fresh() const
+{
+    const auto& bounds = context.state.config.bounds;
+    return !bounds.strict_keys ||
+           now() - context.state.snapshot->store_heard <= bounds.revoke;
+}
+
 bool request_flow::admit_customer()
 {
     if (!route->open && routing->config->keys_required)
     {
+        if (!keys_fresh())
+        {
+            refuse(refusal_reason::stale_state, return_after);
+            return false;
+        }
         const std::string key(
             header_value(ex->request, context.platform.headers.api_key));
         customer = steering::find_customer(*routing, key);
@@ -141,18 +154,53 @@
                    milliseconds(0));
             return false;
         }
-        if (!take_quota(context.state, *customer, now()))
-        {
-            refuse(refusal_reason::customer_rate,
-                   quota_wait(context.state, *customer));
-            return false;
-        }
-        token_taken = true;
     }
     service = next_service(context.state, *route);
     return true;
 }
 
+proxy::asio::awaitable<bool> request_flow::take_token()
+{
+    if (customer == nullptr || customer->rate.value <= 0)
+        co_return true;
+    auto& state = context.state;
+    const auto* holder = token_holder_of(state, customer->id);
+    auto answer = token_answer::unknown;
+    if (holder != nullptr && holder->id == state.config.id)
+    {
+        steering::count_demand(state.meters[customer->id]);
+        answer = take_region_token(state, customer_number(customer->id), now())
+                     ? token_answer::granted
+                     : token_answer::refused;
+    }
+    else if (holder != nullptr)
+    {
+        steering::count_demand(state.meters[customer->id]);
+        const auto where = holder->tokens;
+        answer = co_await context.token_peers.ask(
+            where, customer_number(customer->id));
+        if (answer == token_answer::granted)
+            token_granted_by = where;
+    }
+    // Without an answer this instance's own part of the rate decides.
+    token_taken = answer == token_answer::unknown
+                      ? take_quota(state, *customer, now())
+                      : answer == token_answer::granted;
+    co_return token_taken;
+}
+
+void request_flow::return_token()
+{
+    token_taken = false;
+    const auto number = customer_number(customer->id);
+    if (token_granted_by)
+        context.token_peers.give_back(*token_granted_by, number);
+    else if (token_holder_of(context.state, customer->id) != nullptr)
+        return_region_token(context.state, number);
+    else
+        return_quota(context.state, *customer);
+}
+
 placement_request request_flow::describe() const
 {
     return {*route, customer, service, affinity_key, tried};
@@ -223,6 +271,18 @@
     const auto self = shared_from_this();
     if (!admit())
         co_return;
+    const bool allowed = co_await take_token();
+    if (ex->cancelled)
+    {
+        end(0, "cancelled", "caller_gone");
+        co_return;
+    }
+    if (!allowed)
+    {
+        refuse(refusal_reason::customer_rate,
+               quota_wait(context.state, *customer));
+        co_return;
+    }
     ex->on_cancel = [weak = weak_from_this()]
     {
         const auto flow = weak.lock();
@@ -442,7 +502,7 @@
     else if (reason == refusal_reason::customer_rate)
         status = status_too_many;
     if (token_taken)
-        return_quota(context.state, *customer);
+        return_token();
     auto response = proxy::make_response(status, to_string(reason));
     if (retry_after > milliseconds(0))
     {
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -6,6 +6,7 @@
 // traffic thread.
 
 #include <parsleyplank/core/reason.hpp>
+#include <parsleyplank/edge/token_exchange.hpp>
 #include <parsleyplank/edge/traffic_state.hpp>
 #include <parsleyplank/proxy/upstream_call.hpp>
 #include <parsleyplank/telemetry/metrics.hpp>
@@ -21,6 +22,7 @@
     traffic_state& state;
     const adapter& platform;
     proxy::upstream_pool& pool;
+    token_exchange& token_peers;
     telemetry::metrics& counters;
     log4cplus::Logger log;
 };
@@ -42,6 +44,12 @@
 
     bool admit();
     bool admit_customer();
+    // Takes a token of the customer, from the instance that holds it if it is
+    // not this one.
+    proxy::asio::awaitable<bool> take_token();
+    void return_token();
+    // Whether the API keys held here may still be used.
+    bool keys_fresh() const;
     void set_deadline();
     // Returns where the request goes, or refuses it.
     std::optional<server_placement> place();
@@ -81,6 +89,8 @@
     std::vector<backend_server_id> tried;
     std::uint32_t sends = 0;
     bool token_taken = false;
+    // The instance that granted the token, unless it is this one.
+    std::optional<steering::server_endpoint> token_granted_by;
     std::shared_ptr<proxy::upstream_call> call;
     std::string last_detail;
     // What the last choice of a server went by.
--- a/src/edge/settings.cpp
+++ b/src/edge/settings.cpp
@@ -45,6 +45,7 @@
     in.duration("retry_window", bounds.retry_window, false);
     in.fraction("retry_slack", bounds.retry_slack, false);
     in.fraction("shift_cap", bounds.shift_cap, false);
+    in.duration("revoke", bounds.revoke, false);
     in.flag("strict_keys", bounds.strict_keys);
     in.reject_unknown();
 }
--- a/src/edge/settings.hpp
+++ b/src/edge/settings.hpp
@@ -36,7 +36,10 @@
     double retry_slack = 50;
     // Part of a region's requests that may move to another region in 2 s.
     double shift_cap = 0.15;
-    // Whether API keys may be used only while the store is reached.
+    // Time in which a withdrawn API key must stop working.
+    milliseconds revoke{5'000};
+    // Whether that holds for an instance that does not reach the store as well.
+    // It then refuses requests with a key.
     bool strict_keys = false;
 };
 
@@ -55,7 +58,7 @@
     steering::server_endpoint directory;
     // Status and metrics; unset if there is no such address.
     steering::server_endpoint admin;
-    // Datagrams between instances.
+    // First of two ports for what instances tell each other.
     std::uint16_t peer_port = 0;
 
     // [store]
--- a/src/edge/snapshot.hpp
+++ b/src/edge/snapshot.hpp
@@ -43,6 +43,9 @@
     std::vector<steering::directory_instance> instances;
     std::vector<steering::fleet_member> members;
     std::unordered_map<customer_id, steering::customer_share> shares;
+    // Parts of this region of the customers whose rate is too small to divide
+    // among all instances. One instance of the region holds each.
+    std::unordered_map<customer_id, steering::customer_share> region_shares;
     // When the store was last heard of.
     time_point store_heard{};
     bool draining = false;
--- /dev/null
+++ b/src/edge/token_exchange.cpp
@@ -0,0 +1,127 @@
+#include <parsleyplank/core/error.hpp>
+#include <parsleyplank/core/log.hpp>
+#include <parsleyplank/edge/token_exchange.hpp>
+
+#include <log4cplus/loggingmacros.h>
+
+namespace parsleyplank::edge
+{
+
+namespace
+{
+
+using udp = proxy::asio::ip::udp;
+
+// The holder stands in the same region. An answer that takes longer is lost,
+// and the caller should not wait for it.
+constexpr milliseconds answer_timeout{60};
+
+udp::endpoint to_endpoint(const steering::server_endpoint& where)
+{
+    return {proxy::asio::ip::make_address(where.address), where.port};
+}
+
+udp::socket open_socket(proxy::asio::io_context& io,
+                        const steering::server_endpoint& where)
+{
+    try
+    {
+        return {io, to_endpoint(where)};
+    }
+    catch (const boost::system::system_error& ec)
+    {
+        throw error("can't use datagrams on " + where.address + ":" +
+                    std::to_string(where.port) + ": " + ec.what());
+    }
+}
+
+} // namespace
+
+token_exchange::token_exchange(proxy::asio::io_context& context,
+                               const steering::server_endpoint& where,
+                               token_holder held)
+    : io(context), socket(open_socket(io, where)), holder(std::move(held))
+{
+    receive();
+}
+
+proxy::asio::awaitable<token_answer>
+token_exchange::ask(const steering::server_endpoint& to, std::uint32_t customer)
+{
+    const auto number = next_number++;
+    waiting entry(io);
+    asked[number] = &entry;
+    send(to_endpoint(to), {token_step::ask, number, customer});
+    entry.timer.expires_after(answer_timeout);
+    proxy::error_code ec;
+    co_await entry.timer.async_wait(
+        proxy::asio::redirect_error(proxy::asio::use_awaitable, ec));
+    asked.erase(number);
+    co_return entry.answer;
+}
+
+void token_exchange::give_back(const steering::server_endpoint& to,
+                               std::uint32_t customer)
+{
+    send(to_endpoint(to), {token_step::give_back, 0, customer});
+}
+
+void token_exchange::send(const udp::endpoint& to, const token_message& message)
+{
+    const auto bytes = pack_value(message);
+    proxy::error_code ec;
+    // What can't be sent counts as lost: the answer is then missed in time.
+    socket.send_to(proxy::asio::buffer(bytes), to, 0, ec);
+}
+
+void token_exchange::receive()
+{
+    socket.async_receive_from(proxy::asio::buffer(datagram), sender,
+                              [this](const proxy::error_code& ec, std::size_t n)
+                              {
+                                  // An error is that of an earlier datagram to
+                                  // a peer that is down.
+                                  if (!ec)
+                                      take_datagram(n);
+                                  if (ec !=
+                                      proxy::asio::error::operation_aborted)
+                                      receive();
+                              });
+}
+
+void token_exchange::take_datagram(std::size_t n)
+{
+    try
+    {
+        const auto message = unpack_value<token_message>(
+            {datagram.data(), n}, sender.address().to_string());
+        switch (message.step)
+        {
+        case token_step::ask:
+            send(sender, {holder.take(message.customer) ? token_step::granted
+                                                        : token_step::refused,
+                          message.number, message.customer});
+            return;
+        case token_step::give_back:
+            holder.give_back(message.customer);
+            return;
+        case token_step::granted:
+        case token_step::refused:
+            break;
+        }
+        const auto it = asked.find(message.number);
+        if (it == asked.end())
+            return;
+        it->second->answer = message.step == token_step::granted
+                                 ? token_answer::granted
+                                 : token_answer::refused;
+        it->second->timer.cancel();
+    }
+    catch (const codec_error& ec)
+    {
+        LOG4CPLUS_WARN(part_logger("tokens"),
+                       "event=datagram_ignored detail=\"" << ec.what() << '"');
+    }
+}
+
+} // namespace parsleyplank::edge
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -31,6 +31,11 @@
     return options;
 }
 
+steering::server_endpoint token_endpoint(const settings& config)
+{
+    return {config.address, static_cast<std::uint16_t>(config.peer_port + 1)};
+}
+
 time_point now()
 {
     return std::chrono::steady_clock::now();
@@ -41,9 +46,16 @@
 traffic_plane::traffic_plane(const settings& config, const adapter& adapted,
                              telemetry::metrics& metrics)
     : platform(adapted), counters(metrics), io(1),
-      work(proxy::asio::make_work_guard(io)),
-      pool(io, {}), context{state, platform, pool, counters,
-                            part_logger("traffic")},
+      work(proxy::asio::make_work_guard(io)), pool(io, {}),
+      token_peers(io, token_endpoint(config),
+                  {[this](std::uint32_t customer)
+                   { return take_region_token(state, customer, now()); },
+                   [this](std::uint32_t customer)
+                   {
+                       return_region_token(state, customer);
+                   }}),
+      context{state,       platform, pool,
+              token_peers, counters, part_logger("traffic")},
       sweep_timer(io)
 {
     state.config = config;
--- a/src/edge/traffic_plane.hpp
+++ b/src/edge/traffic_plane.hpp
@@ -50,6 +50,7 @@
         work;
     traffic_state state;
     proxy::upstream_pool pool;
+    token_exchange token_peers;
     flow_context context;
     proxy::asio::steady_timer sweep_timer;
     std::vector<std::unique_ptr<proxy::front_listener>> listeners;
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -1,3 +1,5 @@
+#include <parsleyplank/core/rendezvous.hpp>
+#include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/edge/traffic_state.hpp>
 
 #include <algorithm>
@@ -213,20 +215,32 @@
     return found;
 }
 
-} // namespace
-
-void adopt_snapshot(traffic_state& state, snapshot_ptr next, time_point now)
+void resize_buckets(
+    std::unordered_map<customer_id, quota::token_bucket>& buckets,
+    const std::unordered_map<customer_id, steering::customer_share>& shares,
+    time_point now)
 {
-    state.snapshot = std::move(next);
-    for (const auto& [id, share] : state.snapshot->shares)
+    for (const auto& [id, share] : shares)
     {
-        const auto [it, added] = state.buckets.try_emplace(id);
+        const auto [it, added] = buckets.try_emplace(id);
         if (added)
             it->second = {share.rate, share.burst, share.burst, now};
         quota::resize(it->second, share.rate, share.burst, now);
     }
-    std::erase_if(state.buckets, [&](const auto& it)
-                  { return !state.snapshot->shares.contains(it.first); });
+    std::erase_if(buckets,
+                  [&](const auto& it) { return !shares.contains(it.first); });
+}
+
+} // namespace
+
+void adopt_snapshot(traffic_state& state, snapshot_ptr next, time_point now)
+{
+    state.snapshot = std::move(next);
+    resize_buckets(state.buckets, state.snapshot->shares, now);
+    resize_buckets(state.region_buckets, state.snapshot->region_shares, now);
+    state.customer_numbers.clear();
+    for (const auto& [id, share] : state.snapshot->region_shares)
+        state.customer_numbers[customer_number(id)] = id;
     state.surplus.clear();
     for (const auto& [service, servers] : state.snapshot->servers)
         state.surplus[service] = find_surplus(*state.snapshot, servers);
@@ -314,6 +328,47 @@
     return it == state.buckets.end() || quota::take(it->second, tokens(1), now);
 }
 
+const steering::fleet_member* token_holder_of(const traffic_state& state,
+                                              const customer_id& customer)
+{
+    if (!state.snapshot->region_shares.contains(customer))
+        return nullptr;
+    const steering::fleet_member* best = nullptr;
+    std::uint64_t highest = 0;
+    for (const auto& it : state.snapshot->members)
+    {
+        if (it.region != state.config.region)
+            continue;
+        const auto weight = rendezvous_weight(customer.value, it.id.value);
+        if (best == nullptr || weight > highest)
+        {
+            best = &it;
+            highest = weight;
+        }
+    }
+    return best;
+}
+
+bool take_region_token(traffic_state& state, std::uint32_t customer,
+                       time_point now)
+{
+    const auto id = state.customer_numbers.find(customer);
+    if (id == state.customer_numbers.end())
+        return false;
+    const auto it = state.region_buckets.find(id->second);
+    return it != state.region_buckets.end() &&
+           quota::take(it->second, tokens(1), now);
+}
+
+void return_region_token(traffic_state& state, std::uint32_t customer)
+{
+    const auto id = state.customer_numbers.find(customer);
+    if (id == state.customer_numbers.end())
+        return;
+    auto& bucket = state.region_buckets[id->second];
+    bucket.level = std::min(bucket.burst, bucket.level + tokens(1));
+}
+
 void return_quota(traffic_state& state, const steering::traffic_customer& of)
 {
     const auto it = state.buckets.find(of.id);
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -49,6 +49,10 @@
     std::unordered_map<backend_server_id, steering::server_load> loads;
     std::map<std::pair<route_id, service_id>, steering::service_times> times;
     std::unordered_map<customer_id, quota::token_bucket> buckets;
+    // Tokens of the region that this instance holds for the others.
+    std::unordered_map<customer_id, quota::token_bucket> region_buckets;
+    // Customers of region_shares by their number in messages.
+    std::unordered_map<std::uint32_t, customer_id> customer_numbers;
     std::unordered_map<customer_id, steering::demand_meter> meters;
     std::unordered_map<service_id, placement::retry_budget> retries;
     std::unordered_map<route_id, split_state> splits;
@@ -109,6 +113,17 @@
 bool take_quota(traffic_state& state, const steering::traffic_customer& of,
                 time_point now);
 
+// Returns the instance that holds the customer's tokens in this region, nullptr
+// if its rate is divided among all instances or no instance is known.
+const steering::fleet_member* token_holder_of(const traffic_state& state,
+                                              const customer_id& customer);
+
+// Takes a token of the region, or gives one back, at the instance that holds
+// them. Unknown customers have none.
+bool take_region_token(traffic_state& state, std::uint32_t customer,
+                       time_point now);
+void return_region_token(traffic_state& state, std::uint32_t customer);
+
 // Gives back the token of a request that has not run.
 void return_quota(traffic_state& state, const steering::traffic_customer& of);
 
--- a/src/steering/cold_share.hpp
+++ b/src/steering/cold_share.hpp
@@ -18,6 +18,8 @@
     instance_id id;
     failure_domain_id domain;
     region_id region;
+    // Where it takes datagrams that ask for customers' tokens.
+    server_endpoint tokens;
 };
 
 // Most instances that send to one cold server. Each may begin with one request
--- a/test/correctness/edge_data_path.cpp
+++ b/test/correctness/edge_data_path.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(edge_data_path);
     CPPUNIT_TEST(without_a_configuration_it_says_that_nothing_ran);
     CPPUNIT_TEST(unknown_routes_and_keys_are_refused);
+    CPPUNIT_TEST(strict_keys_are_refused_without_the_store);
     CPPUNIT_TEST(the_api_key_is_replaced_by_the_customer);
     CPPUNIT_TEST(pipelined_requests_are_answered_in_their_order);
     CPPUNIT_TEST(a_chunked_body_arrives_whole);
@@ -78,6 +79,26 @@
         CPPUNIT_ASSERT_EQUAL(0, seen.load());
     }
 
+    // Where keys are strict, an instance that does not reach the store can't
+    // know of a withdrawal.
+    void strict_keys_are_refused_without_the_store()
+    {
+        const auto request = edge_fixture::request("GET", "/read/1", "a");
+        for (const bool strict : {false, true})
+        {
+            edge = std::make_unique<edge_fixture>(strict);
+            edge->add_server(
+                [](const std::string& seen) {
+                    return scripted_response{echo_response(seen, "ok"), false};
+                });
+            edge->publish(std::chrono::steady_clock::now() -
+                          std::chrono::minutes(10));
+            CPPUNIT_ASSERT_EQUAL(strict ? 503 : 200, send(request).status);
+            edge->publish();
+            CPPUNIT_ASSERT_EQUAL(200, send(request).status);
+        }
+    }
+
     void the_api_key_is_replaced_by_the_customer()
     {
         std::mutex guard;
--- /dev/null
+++ b/test/correctness/edge_token_exchange.cpp
@@ -0,0 +1,109 @@
+// Guards the tokens of small customers: an instance without them asks the one
+// that holds them, and a holder that is gone holds no request up for long.
+
+#include <parsleyplank/edge/token_exchange.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <support/edge_fixture.hpp>
+
+using namespace parsleyplank;
+using namespace parsleyplank::edge;
+
+namespace
+{
+
+steering::server_endpoint loopback()
+{
+    proxy::asio::io_context io;
+    const proxy::asio::ip::udp::socket probe(
+        io, {proxy::asio::ip::address_v4::loopback(), 0});
+    return {"127.0.0.1", probe.local_endpoint().port()};
+}
+
+class edge_token_exchange : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(edge_token_exchange);
+    CPPUNIT_TEST(each_token_is_granted_once);
+    CPPUNIT_TEST(a_token_that_was_not_used_can_be_given_back);
+    CPPUNIT_TEST(without_an_answer_it_is_not_known);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint32_t customer = 7;
+    proxy::asio::io_context io;
+    int level = 2;
+
+    token_holder holder()
+    {
+        return {[this](std::uint32_t of)
+                { return of == customer && level > 0 && level-- > 0; },
+                [this](std::uint32_t)
+                {
+                    ++level;
+                }};
+    }
+
+    // Asks that often and returns the answers.
+    std::vector<token_answer> ask(token_exchange& from,
+                                  const steering::server_endpoint& to,
+                                  std::size_t times)
+    {
+        std::vector<token_answer> answers;
+        proxy::asio::co_spawn(
+            io,
+            [&]() -> proxy::asio::awaitable<void>
+            {
+                for (std::size_t i = 0; i < times; ++i)
+                    answers.push_back(co_await from.ask(to, customer));
+            },
+            proxy::asio::detached);
+        io.restart();
+        while (answers.size() < times && io.run_one() > 0)
+        {
+        }
+        return answers;
+    }
+
+public:
+    void setUp() override
+    {
+        level = 2;
+    }
+
+    // Pattern: a customer of a few requests a second meets 64 instances, none
+    // of which has a whole token (8% of all requests refused within the rate).
+    void each_token_is_granted_once()
+    {
+        const auto there = loopback();
+        token_exchange holding(io, there, holder());
+        token_exchange asking(io, loopback(), holder());
+        const std::vector<token_answer> expected{token_answer::granted,
+                                                 token_answer::granted,
+                                                 token_answer::refused};
+        CPPUNIT_ASSERT(ask(asking, there, 3) == expected);
+    }
+
+    void a_token_that_was_not_used_can_be_given_back()
+    {
+        const auto there = loopback();
+        token_exchange holding(io, there, holder());
+        token_exchange asking(io, loopback(), holder());
+        ask(asking, there, 3);
+        asking.give_back(there, customer);
+        io.restart();
+        while (level == 0 && io.run_one() > 0)
+        {
+        }
+        CPPUNIT_ASSERT(ask(asking, there, 1).front() == token_answer::granted);
+    }
+
+    void without_an_answer_it_is_not_known()
+    {
+        token_exchange asking(io, loopback(), holder());
+        CPPUNIT_ASSERT(ask(asking, loopback(), 1).front() ==
+                       token_answer::unknown);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(edge_token_exchange);
+
+} // namespace
--- a/test/correctness/steering_shares.cpp
+++ b/test/correctness/steering_shares.cpp
@@ -102,7 +102,8 @@
         for (int i = 0; i < 9; ++i)
             members.push_back({instance_id("e" + std::to_string(i)),
                                failure_domain_id(i < 2 ? "oslo-a" : "other"),
-                               region_id(i < 3 ? "oslo" : "bergen")});
+                               region_id(i < 3 ? "oslo" : "bergen"),
+                               {}});
         backend_server server;
         server.id = backend_server_id("s");
         server.domain = failure_domain_id("oslo-a");
--- a/test/support/edge_fixture.hpp
+++ b/test/support/edge_fixture.hpp
@@ -50,8 +50,10 @@
 class edge_fixture
 {
 public:
-    edge_fixture() : adapter(platform::make_adapter())
+    explicit edge_fixture(bool strict_keys = false)
+        : adapter(platform::make_adapter())
     {
+        config.bounds.strict_keys = strict_keys;
         config.id = instance_id("edge-1");
         config.region = region_id("oslo");
         config.domain = failure_domain_id("oslo-a");
@@ -59,6 +61,7 @@
         config.callers = {"127.0.0.1", free_port()};
         config.readiness = {"127.0.0.1", free_port()};
         config.directory = {"127.0.0.1", free_port()};
+        config.peer_port = static_cast<std::uint16_t>(free_port() - 1);
         plane =
             std::make_unique<edge::traffic_plane>(config, adapter, counters);
     }
@@ -79,10 +82,11 @@
         return *servers.back();
     }
 
-    void publish(std::uint64_t version = 1)
+    // Publishes the routes; the store was last heard of at the given time.
+    void publish(time_point store_heard = std::chrono::steady_clock::now())
     {
         auto traffic = std::make_shared<steering::traffic_config>();
-        traffic->version = epoch(version);
+        traffic->version = epoch(1);
         traffic->keys_required = true;
         traffic->services.push_back(
             {service_id("parts"), "/healthz", 100, milliseconds(0), 0});
@@ -98,9 +102,10 @@
         next->routing = std::make_shared<const steering::routing_table>(
             steering::make_routing_table(traffic));
         next->servers[service_id("parts")] = described;
-        next->members.push_back({config.id, config.domain, config.region});
+        next->members.push_back({config.id, config.domain, config.region, {}});
         next->instances.push_back(
             {config.id, config.callers, config.domain, config.region});
+        next->store_heard = store_heard;
         next->shares[customer_id("shop")] = {token_rate(1'000), tokens(1'000)};
         plane->publish(next);
     }
--- a/test/support/raw_server.hpp
+++ b/test/support/raw_server.hpp
@@ -27,7 +27,8 @@
 {
 public:
     // Called with each complete request, head and body, on one thread.
-    using responder = std::function<scripted_response(const std::string& request)>;
+    using responder =
+        std::function<scripted_response(const std::string& request)>;
 
     // Listens on a free port of 127.0.0.1. Throws std::runtime_error if it
     // can't.
