Let instances that the store turns away follow a peer

Ruled out: asking the store more often, which it refuses as well; counting what a peer passes on as a word of the store, which made them return to it every second and would let strict keys outlive it. Change: an instance that does not reach the store takes changes from any peer that does. Test edge_fleet.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -91,6 +91,7 @@
                           post([this, changes = std::move(changes)]
                                { take_changes(changes); });
                       },
+                      [this, post] { post([this] { store_heard(); }); },
                       [this, post](const std::string& problem)
                       { post([this, problem] { store_lost(problem); }); },
                       [this](const std::string& problem)
@@ -160,26 +161,15 @@
     return heard_at != time_point{} && now() - heard_at < options.relay_silence;
 }
 
-// Takes the changes from the instance of this region that watches the store.
-void control_plane::choose_feeder(const std::vector<const peer_state*>& live)
+void control_plane::follow_feeder(const std::vector<const peer_state*>& live)
 {
-    std::vector<instance_id> able;
-    if (store_reached())
-        able.push_back(self.id);
-    for (const auto* it : live)
-        if (it->record.region == self.region && it->digest.store_reached)
-            able.push_back(it->record.id);
-    const auto* feeder = rendezvous_first("store feeder", able);
-    const bool direct = live.size() + 1 < options.relay_from ||
-                        feeder == nullptr || *feeder == self.id;
-    if (direct)
-    {
+    const auto* feeder = choose_feeder(
+        fleet, live, {self.region, store_reached(), options.relay_from});
+    if (feeder == nullptr)
         feed->watch_peer(std::nullopt);
-        return;
-    }
-    const auto& record = fleet.peers.at(*feeder).record;
-    feed->watch_peer(
-        steering::server_endpoint{record.address, record.peer_port});
+    else
+        feed->watch_peer(steering::server_endpoint{feeder->record.address,
+                                                   feeder->record.peer_port});
 }
 
 void control_plane::poll_revision()
@@ -205,14 +195,17 @@
         [this](store::lease_store& store)
         {
             auto all = store.list(platform.layout.watched_prefix);
-            proxy::asio::post(io, [this, all = std::move(all)]
-                              { take_listing(all); });
+            proxy::asio::post(io,
+                              [this, all = std::move(all)]
+                              {
+                                  store_heard();
+                                  take_listing(all);
+                              });
         });
 }
 
 void control_plane::take_listing(const store::list_result& all)
 {
-    store_heard();
     if (all.store_revision < applied)
         return;
     applied = all.store_revision;
@@ -258,7 +251,6 @@
 
 void control_plane::take_changes(const store::list_result& changes)
 {
-    store_heard();
     // A listing may have overtaken the watch.
     if (changes.store_revision < applied)
         return;
@@ -553,7 +545,7 @@
     forget_gone(fleet, options.fleet, now());
     relay.expire(now());
     const auto live = live_peers(fleet, options.fleet, now());
-    choose_feeder(live);
+    follow_feeder(live);
     std::vector<instance_id> ids{self.id};
     for (const auto* peer : live)
         ids.push_back(peer->record.id);
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -90,7 +90,8 @@
     void settle_removals_in_time();
 
     // Finds out whether the watch has missed changes.
-    void choose_feeder(const std::vector<const peer_state*>& live);
+    // Takes changes from the store or from the peer that passes them on.
+    void follow_feeder(const std::vector<const peer_state*>& live);
     bool store_reached() const;
     void poll_revision();
     void note_revision(revision seen);
--- a/src/edge/fleet_view.cpp
+++ b/src/edge/fleet_view.cpp
@@ -1,4 +1,5 @@
 #include <parsleyplank/core/hash.hpp>
+#include <parsleyplank/core/rendezvous.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
 
 #include <algorithm>
@@ -74,6 +75,31 @@
     return live;
 }
 
+const peer_state* choose_feeder(const fleet_view& fleet,
+                                const std::vector<const peer_state*>& live,
+                                const feeder_choice& choice)
+{
+    if (choice.store_reached && live.size() + 1 < choice.relay_from)
+        return nullptr;
+    std::vector<instance_id> near;
+    std::vector<instance_id> all;
+    for (const auto* it : live)
+    {
+        if (!it->digest.store_reached)
+            continue;
+        all.push_back(it->record.id);
+        if (it->record.region == choice.region)
+            near.push_back(it->record.id);
+    }
+    if (choice.store_reached)
+        near.push_back(fleet.self);
+    const auto* feeder =
+        rendezvous_first("store feeder", near.empty() ? all : near);
+    return feeder == nullptr || *feeder == fleet.self
+               ? nullptr
+               : &fleet.peers.at(*feeder);
+}
+
 void forget_gone(fleet_view& fleet, const fleet_options& options,
                  time_point now)
 {
--- a/src/edge/fleet_view.hpp
+++ b/src/edge/fleet_view.hpp
@@ -131,6 +131,25 @@
                                           const fleet_options& options,
                                           time_point now);
 
+// What the choice of a feeder depends on.
+struct feeder_choice
+{
+    region_id region;
+    // Whether this instance reaches the store.
+    bool store_reached = false;
+    // From this number of instances on, one of each region watches the store
+    // and passes changes on.
+    std::size_t relay_from = 16;
+};
+
+// Returns the peer that this instance takes the changes of the store from, or
+// nullptr if it watches the store itself. An instance that does not reach the
+// store takes them from any peer that does, so that it still learns of
+// withdrawn keys, evacuations and leaving servers.
+const peer_state* choose_feeder(const fleet_view& fleet,
+                                const std::vector<const peer_state*>& live,
+                                const feeder_choice& choice);
+
 // Forgets peers that are neither registered nor heard.
 void forget_gone(fleet_view& fleet, const fleet_options& options,
                  time_point now);
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -16,9 +16,11 @@
 
 using proxy::header_value;
 
-// Time that a response may still take after the deadline: a backend server that
-// stops at the deadline says so itself.
+// Time that a response may still take after the route's timeout: a backend
+// server that stops at the timeout says so itself.
 constexpr milliseconds deadline_grace{120};
+// Time that the last answer takes to a caller before its own deadline.
+constexpr milliseconds answer_margin{15};
 // Unreachable servers that one request tries.
 constexpr std::size_t most_unreachable = 3;
 // Callers that are refused for want of room come back spread over this time.
@@ -102,10 +104,14 @@
 {
     const auto given = parse_number<std::int64_t>(
         header_value(ex->request, context.platform.headers.time_left_ms));
-    auto allowed = route->timeout;
-    if (given && *given >= 0)
-        allowed = std::min(allowed, milliseconds(*given));
-    deadline = ex->received + allowed;
+    deadline = ex->received + route->timeout;
+    answer_by = deadline + deadline_grace;
+    if (!given || *given < 0)
+        return;
+    // The caller does not wait any longer than it says.
+    const auto caller_limit = ex->received + milliseconds(*given);
+    deadline = std::min(deadline, caller_limit);
+    answer_by = std::min(answer_by, caller_limit - answer_margin);
 }
 
 bool request_flow::admit()
@@ -316,9 +322,8 @@
     call = std::make_shared<proxy::upstream_call>(context.pool, server);
     // Named, because GCC 12 destroys temporaries of a co_await twice.
     proxy::correlation echo{context.platform.headers.request_id, id};
-    auto result =
-        co_await call->run(std::move(request), idempotent(), std::move(echo),
-                           deadline + deadline_grace);
+    auto result = co_await call->run(std::move(request), idempotent(),
+                                     std::move(echo), answer_by);
     call.reset();
     auto& load = state.loads[server->id];
     load.in_flight.erase(number);
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -85,7 +85,10 @@
     service_id service;
     std::string affinity_key;
     std::string id;
+    // What backend servers are given.
     time_point deadline;
+    // When the caller is answered at the latest.
+    time_point answer_by;
     std::vector<backend_server_id> tried;
     std::uint32_t sends = 0;
     bool token_taken = false;
--- a/src/edge/store_feed.cpp
+++ b/src/edge/store_feed.cpp
@@ -47,6 +47,7 @@
 void store_feed::list()
 {
     auto all = source->list(prefix);
+    handlers.store_answered();
     known = all.store_revision;
     handlers.listed(std::move(all));
 }
@@ -84,7 +85,9 @@
     auto* const relay = peer_source();
     if (relay == nullptr)
     {
-        take(source->watch(prefix, known, options.watch_wait));
+        auto changes = source->watch(prefix, known, options.watch_wait);
+        handlers.store_answered();
+        take(std::move(changes));
         return;
     }
     try
--- a/src/edge/store_feed.hpp
+++ b/src/edge/store_feed.hpp
@@ -42,6 +42,8 @@
     std::function<void(store::list_result)> listed;
     // Keys that changed; those of revision 0 are gone.
     std::function<void(store::list_result)> changed;
+    // The store itself has answered.
+    std::function<void()> store_answered;
     std::function<void(const std::string& problem)> lost;
     // A peer did not answer; the store is asked instead.
     std::function<void(const std::string& problem)> peer_lost;
--- a/test/correctness/edge_change_relay.cpp
+++ b/test/correctness/edge_change_relay.cpp
@@ -34,7 +34,7 @@
 
     proxy::exchange_ptr send(const std::string& path, const std::string& body)
     {
-        const auto ex = std::make_shared<proxy::exchange>();
+        auto ex = std::make_shared<proxy::exchange>();
         ex->request.target(path);
         ex->request.body() = body;
         relay.serve(ex, start);
--- a/test/correctness/edge_fleet.cpp
+++ b/test/correctness/edge_fleet.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(a_peer_outlives_its_registration_while_it_is_heard);
     CPPUNIT_TEST(a_leaving_peer_is_not_live_until_it_starts_again);
     CPPUNIT_TEST(an_instance_that_hears_nobody_keeps_to_the_list);
+    CPPUNIT_TEST(one_instance_of_a_region_feeds_a_large_fleet);
+    CPPUNIT_TEST(an_instance_cut_off_from_the_store_follows_a_peer);
     CPPUNIT_TEST(callers_are_sent_to_the_nearest_instances);
     CPPUNIT_TEST(servers_that_lapsed_in_an_outage_are_held);
     CPPUNIT_TEST(an_old_report_does_not_replace_a_newer_one);
@@ -99,6 +101,55 @@
                              live(start + milliseconds(10'000)));
     }
 
+    // Adds a peer of a region that does or does not reach the store.
+    void add_peer(const std::string& id, const std::string& region,
+                  bool reached)
+    {
+        auto it = record(id, 1);
+        it.region = region_id(region);
+        put_member(fleet, it, start);
+        member_digest digest;
+        digest.id = it.id;
+        digest.started_ms = 1;
+        digest.number = ++number;
+        digest.store_reached = reached;
+        take_digest(fleet, digest, start);
+    }
+
+    const peer_state* feeder(bool reached, std::size_t relay_from)
+    {
+        return choose_feeder(fleet, live_peers(fleet, options, start),
+                             {region_id("oslo"), reached, relay_from});
+    }
+
+    void one_instance_of_a_region_feeds_a_large_fleet()
+    {
+        for (int i = 0; i < 20; ++i)
+            add_peer("p" + std::to_string(i), i < 10 ? "oslo" : "bergen",
+                     i != 3);
+        const auto* const chosen = feeder(true, 16);
+        // One of 11 able instances of the region; this one if it is nullptr.
+        if (chosen != nullptr)
+        {
+            CPPUNIT_ASSERT(chosen->record.region == region_id("oslo"));
+            CPPUNIT_ASSERT(chosen->digest.store_reached);
+        }
+        CPPUNIT_ASSERT(feeder(true, 64) == nullptr);
+    }
+
+    // Pattern: the store turns some instances away while keys are withdrawn;
+    // they went on with the old keys for nine seconds.
+    void an_instance_cut_off_from_the_store_follows_a_peer()
+    {
+        add_peer("a", "oslo", false);
+        CPPUNIT_ASSERT(feeder(false, 16) == nullptr);
+        add_peer("b", "bergen", true);
+        CPPUNIT_ASSERT(feeder(false, 16)->record.id == instance_id("b"));
+        add_peer("c", "oslo", true);
+        CPPUNIT_ASSERT(feeder(false, 16)->record.id == instance_id("c"));
+        CPPUNIT_ASSERT(feeder(true, 16) == nullptr);
+    }
+
     void callers_are_sent_to_the_nearest_instances()
     {
         using namespace parsleyplank::steering;
--- a/test/correctness/steering_shares.cpp
+++ b/test/correctness/steering_shares.cpp
@@ -99,6 +99,7 @@
     void cold_servers_get_their_rate_from_few_instances()
     {
         std::vector<fleet_member> members;
+        members.reserve(9);
         for (int i = 0; i < 9; ++i)
             members.push_back({instance_id("e" + std::to_string(i)),
                                failure_domain_id(i < 2 ? "oslo-a" : "other"),
