--- a/apps/parsleyplank-edge/main.cpp
+++ b/apps/parsleyplank-edge/main.cpp
@@ -61,7 +61,8 @@
     telemetry::metrics counters;
     edge::traffic_plane traffic(config, adapter, counters);
     edge::control_plane control(
-        config, adapter, [&] { return open_store(config); }, traffic, {});
+        config, adapter, [&] { return open_store(config); }, traffic,
+        edge::control_options_for(config.bounds));
     control.on_reload = [&]
     {
         reload(file, config);
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -59,6 +59,25 @@
 
 } // namespace
 
+control_options control_options_for(const fleet_bounds& bounds)
+{
+    // A peer counts as gone well before the bound on contact, after several
+    // digests were missed.
+    constexpr double silence_part = 0.55;
+    // Time to act on the end of a hold, inside the bound on draining.
+    constexpr milliseconds act_time{400};
+    // Two renewals may fail before a lease ends.
+    constexpr int renewals_per_lease = 3;
+    control_options options;
+    options.fleet.silence = part_of(bounds.contact, silence_part);
+    options.lease_ttl = bounds.contact;
+    options.lease_renewal = bounds.contact / renewals_per_lease;
+    options.removal_hold =
+        std::min(options.removal_hold,
+                 std::max(milliseconds(0), bounds.drain - act_time));
+    return options;
+}
+
 control_plane::control_plane(const settings& chosen, const adapter& adapted,
                              const store_factory& make_store,
                              traffic_plane& plane, control_options with)
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -63,6 +63,9 @@
     double last_part = 0.93;
 };
 
+// Returns options that keep the bounds of the deployment.
+control_options control_options_for(const fleet_bounds& bounds);
+
 class control_plane
 {
 public:
--- a/src/edge/settings.cpp
+++ b/src/edge/settings.cpp
@@ -42,7 +42,6 @@
     in.duration("grace", bounds.grace, false);
     in.duration("directory_ttl", bounds.directory_ttl, false);
     in.fraction("retry_ratio", bounds.retry_ratio, false);
-    in.duration("retry_window", bounds.retry_window, false);
     in.fraction("retry_slack", bounds.retry_slack, false);
     in.fraction("shift_cap", bounds.shift_cap, false);
     in.duration("revoke", bounds.revoke, false);
--- a/src/edge/settings.hpp
+++ b/src/edge/settings.hpp
@@ -30,9 +30,8 @@
     // Time a caller may cache an answer of the directory.
     milliseconds directory_ttl{5'000};
     // Repeated sends of the whole fleet: a part of the requests, and a number
-    // per window.
+    // beyond it.
     double retry_ratio = 0.2;
-    milliseconds retry_window{10'000};
     double retry_slack = 50;
     // Part of a region's requests that may move to another region in 2 s.
     double shift_cap = 0.15;
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -59,6 +59,7 @@
       sweep_timer(io)
 {
     state.config = config;
+    state.options.shift = steering::shift_options_for(config.bounds.shift_cap);
     state.rng.seed(std::hash<instance_id>{}(config.id));
     const auto listen = [&](const steering::server_endpoint& where,
                             const proxy::front_options& options, auto handler)
--- a/src/steering/region_shift.cpp
+++ b/src/steering/region_shift.cpp
@@ -32,6 +32,16 @@
 
 } // namespace
 
+shift_options shift_options_for(double cap)
+{
+    constexpr double growth_part = 1.0 / 3;
+    constexpr double fall_part = 4.0 / 15;
+    shift_options options;
+    options.growth_per_s = cap * growth_part;
+    options.fall_per_s = cap * fall_part;
+    return options;
+}
+
 region_shift start_shift(double callers_part, double slots_part, time_point now)
 {
     region_shift shift;
--- a/src/steering/region_shift.hpp
+++ b/src/steering/region_shift.hpp
@@ -15,8 +15,9 @@
 
 struct shift_options
 {
-    // Part of the requests by which the part that moves may change per second:
-    // half of a cap over two seconds, less what chance adds.
+    // Part of the requests by which the part that moves may change per second.
+    // Both stay below half of the cap over two seconds: objects move in steps,
+    // and the requests of a window are few.
     double growth_per_s = 0.05;
     double fall_per_s = 0.04;
     // The part that would be served sooner elsewhere is an average over about
@@ -27,6 +28,9 @@
     double fall_level = 0.08;
 };
 
+// Returns options that keep a cap on the part that changes within two seconds.
+shift_options shift_options_for(double cap);
+
 struct region_shift
 {
     // Weights of the recent requests: all, and those that would be served
--- a/test/correctness/steering_region_shift.cpp
+++ b/test/correctness/steering_region_shift.cpp
@@ -33,7 +33,7 @@
     static std::vector<double> parts_gone(const std::vector<double>& wanting,
                                           double slots_part)
     {
-        const shift_options options;
+        const auto options = shift_options_for(cap);
         time_point now{std::chrono::hours(1)};
         auto shift = start_shift(1.0 / 3, slots_part, now);
         std::vector<int> gone;
