--- a/apps/parsleyplank-ctl/main.cpp
+++ b/apps/parsleyplank-ctl/main.cpp
@@ -22,6 +22,7 @@
 constexpr const char* command_help = R"(one of:
   status                     state of every listed instance
   explain REQUEST-ID         how a recent request was decided
+  metrics ADDRESS:PORT       counters of an instance, by its admin address
   drain INSTANCE             graceful shutdown of an entry instance
   key give CUSTOMER          give a key; the key is read from standard input
   key withdraw               withdraw a key, read from standard input
@@ -52,6 +53,11 @@
         return show_status(o);
     if (c[0] == "explain" && c.size() == 2)
         return explain(o, c[1]);
+    if (c[0] == "metrics" && c.size() == 2)
+    {
+        const auto where = parse_endpoint(c[1]);
+        return show_metrics(where.address, where.port);
+    }
     if (c[0] == "drain" && c.size() == 2)
         return drain(o, c[1]);
     if (c[0] == "key")
@@ -70,8 +76,9 @@
                        "confirmed it.",
                        ' ', "0.1");
     TCLAP::ValueArg<std::string> platform("", "platform",
-                                          "the platform's store and list", true,
-                                          "", "ADDRESS:PORT", cmd);
+                                          "the platform's store and list; "
+                                          "not needed for metrics",
+                                          false, "", "ADDRESS:PORT", cmd);
     TCLAP::ValueArg<std::string> list("", "list",
                                       "instance list, if it is elsewhere",
                                       false, "", "ADDRESS:PORT", cmd);
@@ -87,7 +94,10 @@
                                                   "COMMAND", cmd);
     cmd.parse(argc, argv);
     options o;
-    o.store = parse_endpoint(platform.getValue());
+    if (platform.isSet())
+        o.store = parse_endpoint(platform.getValue());
+    else if (command.getValue().front() != "metrics")
+        throw usage_error("--platform ADDRESS:PORT is missing");
     o.list = list.isSet() ? parse_endpoint(list.getValue()) : o.store;
     o.publisher = publisher.getValue();
     o.digest = digest.getValue();
--- a/src/ctl/instance_commands.cpp
+++ b/src/ctl/instance_commands.cpp
@@ -100,6 +100,24 @@
     return exit_done;
 }
 
+int show_metrics(const std::string& address, std::uint16_t port)
+{
+    store::http_settings where;
+    where.address = address;
+    where.port = port;
+    store::http_call http(where);
+    const auto response = http.get("/metrics");
+    if (response.status != 200)
+        throw error(http.authority() + ": HTTP status " +
+                    std::to_string(response.status));
+    std::istringstream lines(response.body);
+    for (std::string line; std::getline(lines, line);)
+        if (!line.starts_with('#') && !line.ends_with(" 0") &&
+            line.find("_bucket{") == std::string::npos)
+            std::cout << line << '\n';
+    return exit_done;
+}
+
 int drain(const options& o, const std::string& instance)
 {
     const auto response =
--- a/src/ctl/instance_commands.hpp
+++ b/src/ctl/instance_commands.hpp
@@ -5,6 +5,7 @@
 
 #include <parsleyplank/ctl/options.hpp>
 
+#include <cstdint>
 #include <string>
 
 namespace parsleyplank::ctl
@@ -21,6 +22,11 @@
 // Starts the graceful shutdown of an instance.
 int drain(const options& o, const std::string& instance);
 
+// Prints the counters of one instance that are not 0, without the buckets of
+// histograms. Reads its admin address, so that it also serves instances that no
+// list names. Throws error if it does not answer.
+int show_metrics(const std::string& address, std::uint16_t port);
+
 } // namespace parsleyplank::ctl
 
 #endif
