--- a/test/failure/store_http_faults.cpp
+++ b/test/failure/store_http_faults.cpp
@@ -92,8 +92,8 @@
     {
         std::uint16_t port = 0;
         {
-            const test::raw_server closed([](const std::string&)
-                                          { return test::scripted_response(); });
+            const test::raw_server closed(
+                [](const std::string&) { return test::scripted_response(); });
             port = closed.port();
         }
         http_kv_store store(settings_of(port, long_timeout));
