Never say that a read has not run after it was sent, and read changed settings

Cause, found by reading: a read whose first answer was lost and whose second server refused it, or was not found, ended with 503, which promises that it has not run; a server's own failure was dropped in the same place. Ruled out: answering 504, since no deadline has passed. Change: a request that is given up ends with the failure that a server answered, as unknown (502) if a server may have run it, else as not run. The settings file is read again also when it has changed without a signal.

--- a/apps/parsleyplank-edge/main.cpp
+++ b/apps/parsleyplank-edge/main.cpp
@@ -63,10 +63,7 @@
     edge::control_plane control(
         config, adapter, [&] { return open_store(config); }, traffic,
         edge::control_options_for(config.bounds));
-    control.on_reload = [&]
-    {
-        reload(file, config);
-    };
+    control.watch_settings(file, [&] { reload(file, config); });
     control.run();
     // The threads that wait for the store may block for the length of a watch,
     // longer than the platform lets a process take to end.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -560,6 +560,7 @@
 void control_plane::step(const traffic_report& report)
 {
     shared_demands = std::exchange(last_report, report).demands;
+    reload_if_changed();
     keep_registered();
     forget_gone(fleet, options.fleet, now());
     relay.expire(now());
@@ -773,6 +774,28 @@
     }
 }
 
+void control_plane::watch_settings(std::filesystem::path file,
+                                   std::function<void()> reload)
+{
+    settings_path = std::move(file);
+    reload_settings = std::move(reload);
+    std::error_code ec;
+    settings_written = std::filesystem::last_write_time(settings_path, ec);
+}
+
+void control_plane::reload_if_changed()
+{
+    if (!reload_settings)
+        return;
+    std::error_code ec;
+    const auto written = std::filesystem::last_write_time(settings_path, ec);
+    // While the file is being replaced it can't be read; the next look will.
+    if (ec || written == settings_written)
+        return;
+    settings_written = written;
+    reload_settings();
+}
+
 void control_plane::wait_for_signals()
 {
     signals.async_wait(
@@ -782,8 +805,8 @@
                 return;
             if (number != SIGHUP)
                 begin_drain();
-            else if (on_reload)
-                on_reload();
+            else if (reload_settings)
+                reload_settings();
             wait_for_signals();
         });
 }
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -13,6 +13,7 @@
 #include <parsleyplank/edge/traffic_plane.hpp>
 
 #include <array>
+#include <filesystem>
 #include <functional>
 #include <memory>
 #include <random>
@@ -76,8 +77,9 @@
     // Runs until a stop signal has been carried out.
     void run();
 
-    // Has the settings file read again.
-    std::function<void()> on_reload;
+    // Has the reload called on SIGHUP and when the file has changed.
+    void watch_settings(std::filesystem::path file,
+                        std::function<void()> reload);
 
 private:
     // Changes of the store.
@@ -126,6 +128,7 @@
     void begin_drain();
     void check_drained(const traffic_report& report);
     void wait_for_signals();
+    void reload_if_changed();
 
     const settings& config;
     const adapter& platform;
@@ -172,6 +175,10 @@
     std::shared_ptr<store::lease_id> lease;
     time_point renewed{};
 
+    std::filesystem::path settings_path;
+    std::filesystem::file_time_type settings_written;
+    std::function<void()> reload_settings;
+
     std::optional<time_point> drain_began;
     bool accepting = true;
 
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -224,15 +224,14 @@
 {
     if (remaining() <= milliseconds(0))
     {
-        refuse(refusal_reason::deadline, return_after);
+        give_up(refusal_reason::deadline);
         return std::nullopt;
     }
     auto placed = place_request(context.state, describe(), now());
     if (!placed)
     {
-        refuse(sends > 0 ? refusal_reason::backend_shed
-                         : refusal_reason::no_capacity,
-               return_after);
+        give_up(sends > 0 ? refusal_reason::backend_shed
+                          : refusal_reason::no_capacity);
         return std::nullopt;
     }
     rank = placed->rank;
@@ -243,9 +242,8 @@
         placed = place_on_free_slot(context.state, describe(), now());
     if (!placed)
     {
-        refuse(kept_home ? refusal_reason::shift_cap
-                         : refusal_reason::no_capacity,
-               return_after);
+        give_up(kept_home ? refusal_reason::shift_cap
+                          : refusal_reason::no_capacity);
         return std::nullopt;
     }
     rank = placed->rank;
@@ -449,12 +447,15 @@
         last_detail = "refused with " + std::to_string(status);
         if (may_repeat(retry_reason::backend_shed, true))
             return next_step::try_again;
-        refuse(refusal_reason::backend_shed, return_after);
+        give_up(refusal_reason::backend_shed);
         return next_step::done;
     }
     if (status >= first_server_error && idempotent() &&
         may_repeat(retry_reason::incomplete_answer, true))
+    {
+        server_failure = std::move(result.response);
         return next_step::try_again;
+    }
     deliver(std::move(result.response));
     return next_step::done;
 }
@@ -469,9 +470,10 @@
     case call_end::not_sent:
         if (may_repeat(retry_reason::connect_failed, false))
             return next_step::try_again;
-        refuse(refusal_reason::no_capacity, return_after);
+        give_up(refusal_reason::no_capacity);
         break;
     case call_end::lost:
+        may_have_run = true;
         if (idempotent() && may_repeat(retry_reason::connection_lost, true))
             return next_step::try_again;
         fail(refusal_reason::backend_incomplete, status_bad_gateway);
@@ -526,6 +528,16 @@
     proxy::respond(*ex, std::move(response));
 }
 
+void request_flow::give_up(refusal_reason reason)
+{
+    if (server_failure)
+        deliver(std::move(*server_failure));
+    else if (may_have_run)
+        fail(refusal_reason::backend_incomplete, status_bad_gateway);
+    else
+        refuse(reason, return_after);
+}
+
 void request_flow::fail(refusal_reason reason, unsigned status)
 {
     context.counters.count_refusal(reason);
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -69,6 +69,9 @@
     void deliver(proxy::response_message response);
     // The request has not run and will not.
     void refuse(refusal_reason reason, milliseconds retry_after);
+    // Ends a request that is not sent again: with the failure that a server has
+    // answered, as unknown if a server may have run it, else as not run.
+    void give_up(refusal_reason reason);
     // The request may have run.
     void fail(refusal_reason reason, unsigned status);
     void end(unsigned status, std::string_view outcome,
@@ -91,6 +94,9 @@
     time_point answer_by;
     std::vector<backend_server_id> tried;
     std::uint32_t sends = 0;
+    bool may_have_run = false;
+    // A server's answer of failure, while another server is tried.
+    std::optional<proxy::response_message> server_failure;
     bool token_taken = false;
     // The instance that granted the token, unless it is this one.
     std::optional<steering::server_endpoint> token_granted_by;
--- a/test/correctness/edge_data_path.cpp
+++ b/test/correctness/edge_data_path.cpp
@@ -25,6 +25,8 @@
     CPPUNIT_TEST(an_order_is_not_sent_again_after_a_lost_connection);
     CPPUNIT_TEST(a_read_is_sent_to_another_server_after_a_lost_connection);
     CPPUNIT_TEST(an_order_that_did_not_run_is_sent_to_another_server);
+    CPPUNIT_TEST(a_read_that_may_have_run_is_not_said_not_to_have_run);
+    CPPUNIT_TEST(a_servers_failure_is_delivered_if_the_repeat_finds_none);
     CPPUNIT_TEST(a_body_that_ends_early_never_looks_complete);
     CPPUNIT_TEST(a_late_response_to_another_request_is_skipped);
     CPPUNIT_TEST(failures_of_a_server_pass_unchanged);
@@ -228,6 +230,51 @@
         CPPUNIT_ASSERT_EQUAL(2, seen.load());
     }
 
+    // Has the first request answered by the given bytes and refuses the rest as
+    // not run.
+    void refuse_after(const scripted_response& first, std::atomic<int>& seen)
+    {
+        const auto respond = [&seen, first](const std::string&)
+        {
+            return ++seen == 1
+                       ? first
+                       : scripted_response{"HTTP/1.1 503 Full\r\n"
+                                           "Parsleyplank-Request-Id: a\r\n"
+                                           "Parsleyplank-Not-Executed: 1\r\n"
+                                           "Content-Length: 0\r\n\r\n",
+                                           false};
+        };
+        edge->add_server(respond);
+        edge->add_server(respond);
+        edge->publish();
+    }
+
+    // Pattern: the first server runs a read and its answer is lost; the second
+    // is full. 503 would promise that the read has not run.
+    void a_read_that_may_have_run_is_not_said_not_to_have_run()
+    {
+        std::atomic<int> seen{0};
+        refuse_after({"", true}, seen);
+        CPPUNIT_ASSERT_EQUAL(
+            502, send(edge_fixture::request("GET", "/read/1", "a")).status);
+        CPPUNIT_ASSERT_EQUAL(2, seen.load());
+    }
+
+    void a_servers_failure_is_delivered_if_the_repeat_finds_none()
+    {
+        std::atomic<int> seen{0};
+        refuse_after({"HTTP/1.1 500 Broken\r\nParsleyplank-Request-Id: a\r\n"
+                      "Parsleyplank-Response-Seal: s-1\r\n"
+                      "Content-Length: 3\r\n\r\nbad",
+                      false},
+                     seen);
+        const auto response =
+            send(edge_fixture::request("GET", "/read/1", "a"));
+        CPPUNIT_ASSERT_EQUAL(500, response.status);
+        CPPUNIT_ASSERT(response.has_line("Parsleyplank-Response-Seal: s-1"));
+        CPPUNIT_ASSERT_EQUAL(2, seen.load());
+    }
+
     void a_body_that_ends_early_never_looks_complete()
     {
         edge->add_server(
