--- a/src/settings/table_reader.cpp
+++ b/src/settings/table_reader.cpp
@@ -32,16 +32,15 @@
 }
 
 void reject_unknown_sections(const toml::table& root, const std::string& file,
-                             const std::set<std::string>& known,
+                             const std::vector<std::string>& known,
                              std::vector<std::string>& problems)
 {
-    const std::vector<std::string> names(known.begin(), known.end());
     for (const auto& [key, node] : root)
-        if (!known.contains(std::string(key.str())))
+        if (std::ranges::find(known, key.str()) == known.end())
             problems.push_back(file + ":" +
                                std::to_string(node.source().begin.line) +
                                ": unknown section '" + std::string(key.str()) +
-                               "'; known are " + join(names, ", "));
+                               "'; known are " + join(known, ", "));
 }
 
 } // namespace
@@ -197,7 +196,7 @@
 }
 
 void parse_sections(std::string_view text, const std::string& name,
-                    const std::set<std::string>& known,
+                    const std::vector<std::string>& known,
                     const section_reader& read)
 {
     toml::table root;
--- a/src/settings/table_reader.hpp
+++ b/src/settings/table_reader.hpp
@@ -94,7 +94,7 @@
 // messages. Throws config_error that lists every problem with file and line,
 // sections that are not known among them.
 void parse_sections(std::string_view text, const std::string& name,
-                    const std::set<std::string>& known,
+                    const std::vector<std::string>& known,
                     const section_reader& read);
 
 // Returns the text of a file. Throws config_error if it can't be read.
