--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -569,7 +569,15 @@
     std::vector<instance_id> ids{self.id};
     for (const auto* peer : live)
         ids.push_back(peer->record.id);
-    const auto* poller = rendezvous_first("store revision", ids);
+    // An instance that does not reach the store can't ask it.
+    std::vector<instance_id> able;
+    if (store_reached())
+        able.push_back(self.id);
+    for (const auto* peer : live)
+        if (peer->digest.store_reached)
+            able.push_back(peer->record.id);
+    const auto* poller =
+        rendezvous_first("store revision", able.empty() ? ids : able);
     if (poller != nullptr && *poller == self.id)
         poll_revision();
     note_revision(newest);
--- a/src/edge/fleet_view.cpp
+++ b/src/edge/fleet_view.cpp
@@ -8,6 +8,15 @@
 namespace parsleyplank::edge
 {
 
+namespace
+{
+
+// Instances of a region that watch the store. The digests of the second show
+// the others that the first is cut off from it.
+constexpr std::ptrdiff_t watchers_per_region = 2;
+
+} // namespace
+
 std::uint32_t customer_number(const customer_id& id)
 {
     return static_cast<std::uint32_t>(hash64(id.value));
@@ -93,11 +102,14 @@
     }
     if (choice.store_reached)
         near.push_back(fleet.self);
-    const auto* feeder =
-        rendezvous_first("store feeder", near.empty() ? all : near);
-    return feeder == nullptr || *feeder == fleet.self
-               ? nullptr
-               : &fleet.peers.at(*feeder);
+    const auto order =
+        rendezvous_order("store feeder", near.empty() ? all : near);
+    const auto self = std::ranges::find(order, fleet.self);
+    const bool watches =
+        self != order.end() && self - order.begin() < watchers_per_region;
+    if (order.empty() || watches)
+        return nullptr;
+    return &fleet.peers.at(order.front());
 }
 
 void forget_gone(fleet_view& fleet, const fleet_options& options,
--- a/src/edge/store_feed.hpp
+++ b/src/edge/store_feed.hpp
@@ -27,8 +27,9 @@
     milliseconds gather{60};
     // Pause after a failure.
     milliseconds retry{300};
-    // One watch of a peer waits this long.
-    milliseconds peer_wait{10'000};
+    // One watch of a peer waits this long. Short, because another peer may have
+    // been chosen meanwhile.
+    milliseconds peer_wait{1'000};
     // A peer that has failed is not asked again for this time.
     milliseconds peer_pause{2'000};
     // Silence on a connection to a peer after which it counts as broken.
