Remove what nothing calls

replace_servers was a second form of what take_listing does, server() of a call and verb_of had no use beyond one line; rollout_plan names the header of std::max. Behaviour is the same.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -74,11 +74,6 @@
     return steering::reported_load{values[0], values[1], values[2]};
 }
 
-proxy::http::verb verb_of(const proxy::exchange& ex)
-{
-    return ex.request.method();
-}
-
 } // namespace
 
 request_flow::request_flow(flow_context& shared, proxy::exchange_ptr served)
@@ -563,7 +558,7 @@
     LOG4CPLUS_INFO(
         context.log,
         "request="
-            << id << " method=" << proxy::http::to_string(verb_of(*ex))
+            << id << " method=" << proxy::http::to_string(ex->request.method())
             << " route=" << (route == nullptr ? "-" : route->id.value)
             << " customer=" << (customer == nullptr ? "-" : customer->id.value)
             << " service=" << (service.value.empty() ? "-" : service.value)
--- a/src/proxy/upstream_call.hpp
+++ b/src/proxy/upstream_call.hpp
@@ -120,11 +120,6 @@
     // Ends the call: the connection is closed, so that the server stops.
     void cancel();
 
-    const steering::server_ptr& server() const
-    {
-        return target;
-    }
-
 private:
     asio::awaitable<bool> connect(call_result& result);
     asio::awaitable<void> read_response(call_result& result,
--- a/src/steering/rollout_plan.cpp
+++ b/src/steering/rollout_plan.cpp
@@ -1,6 +1,8 @@
 #include <parsleyplank/rollout/judge.hpp>
 #include <parsleyplank/steering/rollout_plan.hpp>
 
+#include <algorithm>
+
 namespace parsleyplank::steering
 {
 
--- a/src/steering/server_registry.cpp
+++ b/src/steering/server_registry.cpp
@@ -1,7 +1,5 @@
 #include <parsleyplank/steering/server_registry.hpp>
 
-#include <set>
-
 namespace parsleyplank::steering
 {
 
@@ -46,26 +44,6 @@
     return registry.servers.erase(id) > 0;
 }
 
-bool replace_servers(server_registry& registry,
-                     const std::vector<backend_server>& listed,
-                     time_point effective, time_point now)
-{
-    std::set<backend_server_id> present;
-    bool changed = false;
-    for (const auto& it : listed)
-    {
-        present.insert(it.id);
-        changed = put_server(registry, it) || changed;
-    }
-    std::vector<backend_server_id> missing;
-    for (const auto& [id, server] : registry.servers)
-        if (!present.contains(id))
-            missing.push_back(id);
-    for (const auto& id : missing)
-        changed = remove_server(registry, id, effective, now) || changed;
-    return changed;
-}
-
 bool settle_removals(server_registry& registry, time_point now)
 {
     return std::erase_if(registry.leaving,
--- a/src/steering/server_registry.hpp
+++ b/src/steering/server_registry.hpp
@@ -67,12 +67,6 @@
 bool remove_server(server_registry& registry, const backend_server_id& id,
                    time_point effective, time_point now);
 
-// Makes the registry hold exactly these servers; missing ones are removed at
-// the given time. Returns whether anything changed now.
-bool replace_servers(server_registry& registry,
-                     const std::vector<backend_server>& listed,
-                     time_point effective, time_point now);
-
 // Carries out removals that are due. Returns whether anything changed.
 bool settle_removals(server_registry& registry, time_point now);
 
