Warm up one next server for what a full one can't take

Each instance sent what a full server could not take to another idle one, cold requests hold a slot three times as long, and the region stayed late for 20 s with a load that it bears warm (at 26 s 446 reads/s, 80 of 300 slots if warm; a third of them cold). Change: what a server can't take goes to the next one in the object's order, the same at all instances, and only while at most half of its slots are busy. The candidates of a request are built once: before, a request that would wait too long took the credit of a rollout's target twice. The Retry-After of customers whose tokens another instance holds follows the region's rate.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -204,15 +204,10 @@
 
 placement_request request_flow::describe() const
 {
-    return {*route, customer, service, affinity_key, tried};
-}
-
-bool request_flow::in_time(const server_placement& placed) const
-{
-    const auto predicted =
-        std::chrono::duration_cast<milliseconds>(now() - ex->received) +
-        placed.rank.expected;
-    return predicted <= route->target_latency;
+    const auto waited =
+        std::chrono::duration_cast<milliseconds>(now() - ex->received);
+    return {*route,       customer, service,
+            affinity_key, tried,    route->target_latency - waited};
 }
 
 std::optional<server_placement> request_flow::place()
@@ -222,28 +217,15 @@
         give_up(refusal_reason::deadline);
         return std::nullopt;
     }
-    auto placed = place_request(context.state, describe(), now());
-    if (!placed)
-    {
-        give_up(sends > 0 ? refusal_reason::backend_shed
-                          : refusal_reason::no_capacity);
-        return std::nullopt;
-    }
-    rank = placed->rank;
-    // Waiting in vain would make all those behind late as well. A free slot
-    // serves late, but at nobody's cost.
-    const bool kept_home = placed->kept_home;
-    if (placed->rank.queueing > milliseconds(0) && !in_time(*placed))
-        placed = place_on_free_slot(context.state, describe(), now());
-    if (!placed)
+    const auto decision = place_request(context.state, describe(), now());
+    rank = decision.rank;
+    if (!decision.placed)
     {
-        give_up(kept_home ? refusal_reason::shift_cap
-                          : refusal_reason::no_capacity);
+        give_up(sends > 0 ? refusal_reason::backend_shed : decision.reason);
         return std::nullopt;
     }
-    rank = placed->rank;
-    confirm_placement(context.state, *placed, now());
-    return placed;
+    confirm_placement(context.state, *decision.placed, now());
+    return decision.placed;
 }
 
 proxy::request_message
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -54,7 +54,6 @@
     // Returns where the request goes, or refuses it.
     std::optional<server_placement> place();
     placement_request describe() const;
-    bool in_time(const server_placement& placed) const;
     proxy::asio::awaitable<next_step> attempt(const server_placement& placed);
     next_step conclude(const server_placement& placed,
                        proxy::call_result& result);
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -188,7 +188,22 @@
     if (!chosen)
         return std::nullopt;
     const auto& it = candidates[chosen->position];
-    return server_placement{it.server, *chosen, it.cold, false};
+    return server_placement{it.server, *chosen, it.cold};
+}
+
+// Returns whether the request goes to the server of another region.
+bool leaves_region(traffic_state& state, const placement_request& request,
+                   const server_placement& near, const server_placement& far,
+                   time_point now)
+{
+    if (!state.shift)
+        state.shift = start_shift(state, now);
+    std::optional<double> place;
+    if (request.route.affinity && !request.affinity_key.empty())
+        place = steering::object_place(request.affinity_key);
+    return steering::goes_abroad(*state.shift,
+                                 near.rank.cost_ms - far.rank.cost_ms, place,
+                                 state.options.shift, now);
 }
 
 // Returns the slots of each region beyond its share of the callers, who are
@@ -280,42 +295,32 @@
         quota::take(state.loads[placed.server->id].cold_budget, tokens(1), now);
 }
 
-std::optional<server_placement> place_request(traffic_state& state,
-                                              const placement_request& request,
-                                              time_point now)
+placement_decision place_request(traffic_state& state,
+                                 const placement_request& request,
+                                 time_point now)
 {
     auto candidates = find_candidates(state, request, now);
     keep_version(state, request.service, candidates);
     const auto abroad = split_by_region(candidates);
-    const auto near =
-        choose_among(state, request, {candidates.begin(), abroad}, false, now);
+    const std::span near_servers(candidates.begin(), abroad);
+    auto near = choose_among(state, request, near_servers, false, now);
     auto far =
         choose_among(state, request, {abroad, candidates.end()}, false, now);
-    if (!near || !far)
-        return near ? near : far;
-    const auto benefit = near->rank.cost_ms - far->rank.cost_ms;
-    if (!state.shift)
-        state.shift = start_shift(state, now);
-    std::optional<double> place;
-    if (request.route.affinity && !request.affinity_key.empty())
-        place = steering::object_place(request.affinity_key);
-    if (steering::goes_abroad(*state.shift, benefit, place, state.options.shift,
-                              now))
-        return far;
-    auto kept = near;
-    kept->kept_home = benefit > 0;
-    return kept;
-}
-
-std::optional<server_placement>
-place_on_free_slot(traffic_state& state, const placement_request& request,
-                   time_point now)
-{
-    auto candidates = find_candidates(state, request, now);
-    keep_version(state, request.service, candidates);
-    const auto abroad = split_by_region(candidates);
-    return choose_among(state, request, {candidates.begin(), abroad}, true,
-                        now);
+    placement_decision decision;
+    if (near && far && leaves_region(state, request, *near, *far, now))
+        near.reset();
+    else if (near && far && far->rank.cost_ms < near->rank.cost_ms)
+        decision.reason = refusal_reason::shift_cap;
+    decision.placed = near ? std::move(near) : std::move(far);
+    if (!decision.placed)
+        return decision;
+    decision.rank = decision.placed->rank;
+    if (decision.rank.queueing > milliseconds(0) &&
+        decision.rank.expected > request.time_left)
+        decision.placed = choose_among(state, request, near_servers, true, now);
+    if (decision.placed)
+        decision.rank = decision.placed->rank;
+    return decision;
 }
 
 bool take_quota(traffic_state& state, const steering::traffic_customer& of,
@@ -382,12 +387,24 @@
 {
     constexpr double ms_per_s = 1'000;
     constexpr double longest_ms = 5'000;
-    const auto it = state.buckets.find(of.id);
-    if (it == state.buckets.end() || it->second.rate.value <= 0)
-        return milliseconds(static_cast<std::int64_t>(longest_ms));
-    const auto missing = std::max(0.0, 1 - it->second.level.value);
-    return milliseconds(static_cast<std::int64_t>(
-        std::min(longest_ms, missing / it->second.rate.value * ms_per_s)));
+    const auto wait_for = [&](double missing, token_rate rate)
+    {
+        const auto ms =
+            rate.value > 0 ? missing / rate.value * ms_per_s : longest_ms;
+        return milliseconds(
+            static_cast<std::int64_t>(std::min(longest_ms, ms)));
+    };
+    const auto* holder = token_holder_of(state, of.id);
+    // The level at another instance is not known here.
+    if (holder != nullptr && holder->id != state.config.id)
+        return wait_for(1, state.snapshot->region_shares.at(of.id).rate);
+    const auto& buckets =
+        holder != nullptr ? state.region_buckets : state.buckets;
+    const auto it = buckets.find(of.id);
+    return it == buckets.end()
+               ? wait_for(1, token_rate(0))
+               : wait_for(std::max(0.0, 1 - it->second.level.value),
+                          it->second.rate);
 }
 
 void count_send(traffic_state& state, const service_id& service)
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -4,6 +4,7 @@
 // State of the traffic thread that outlives a request, and the decisions over
 // it: which service and server a request goes to, quotas and retry budgets.
 
+#include <parsleyplank/core/reason.hpp>
 #include <parsleyplank/edge/adapter.hpp>
 #include <parsleyplank/edge/settings.hpp>
 #include <parsleyplank/edge/snapshot.hpp>
@@ -84,6 +85,8 @@
     std::string affinity_key;
     // Servers that this request has been sent to before.
     std::span<const backend_server_id> tried;
+    // What is left of the latency objective.
+    milliseconds time_left{0};
 };
 
 struct server_placement
@@ -91,19 +94,24 @@
     steering::server_ptr server;
     steering::ranked_server rank;
     bool cold = false;
-    // A server of another region would be better, but the object stays.
-    bool kept_home = false;
 };
 
-// Returns the server for the request, or nothing if no server may be used.
-std::optional<server_placement> place_request(traffic_state& state,
-                                              const placement_request& request,
-                                              time_point now);
+struct placement_decision
+{
+    // Nothing if no server may be used or the request would wait in vain.
+    std::optional<server_placement> placed;
+    // What the decision went by.
+    steering::ranked_server rank;
+    // Why there is no server.
+    refusal_reason reason = refusal_reason::no_capacity;
+};
 
-// Returns a server of the region that has a free slot, warm or not.
-std::optional<server_placement>
-place_on_free_slot(traffic_state& state, const placement_request& request,
-                   time_point now);
+// Chooses the server of the request. A request that would wait for a slot until
+// its latency objective has passed makes those behind it late as well: it gets
+// a free slot of this region or none.
+placement_decision place_request(traffic_state& state,
+                                 const placement_request& request,
+                                 time_point now);
 
 // Takes what a cold server needs from its budget, before a request is sent.
 void confirm_placement(traffic_state& state, const server_placement& placed,
--- a/src/steering/server_ranking.cpp
+++ b/src/steering/server_ranking.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <limits>
 #include <map>
 #include <numeric>
 #include <vector>
@@ -34,22 +36,26 @@
     return milliseconds(static_cast<std::int64_t>(ms));
 }
 
-// Marks the servers that keep the object warm: the first of each group in
-// rendezvous order, in other regions only in the one that takes the object, and
-// those that have lately served it. All count as warm without an affinity key.
-std::vector<bool> mark_copies(std::span<const candidate> candidates,
-                              const object_affinity& object, std::size_t copies)
+// Place of a server in the order of an object that it does not take.
+constexpr auto no_turn = std::numeric_limits<std::size_t>::max();
+
+// Returns the place of each usable candidate in the object's rendezvous order
+// within its group; in other regions only within the one that takes the object.
+// All come first without an affinity key.
+std::vector<std::size_t> order_servers(std::span<const candidate> candidates,
+                                       std::span<const std::size_t> usable,
+                                       const object_affinity& object)
 {
-    std::vector<bool> marks(candidates.size(), object.key.empty());
+    std::vector<std::size_t> turns(candidates.size(),
+                                   object.key.empty() ? 0 : no_turn);
     if (object.key.empty())
-        return marks;
+        return turns;
     std::map<std::string_view,
              std::vector<std::pair<std::uint64_t, std::size_t>>>
         groups;
-    for (std::size_t i = 0; i < candidates.size(); ++i)
+    for (const auto i : usable)
     {
         const auto& server = *candidates[i].server;
-        marks[i] = candidates[i].remembered;
         if (candidates[i].away == distance::other_region &&
             server.region != object.refuge)
             continue;
@@ -61,13 +67,54 @@
     }
     for (auto& [group, order] : groups)
     {
-        const auto n = std::min(copies, order.size());
-        std::ranges::partial_sort(order, order.begin() +
-                                             static_cast<std::ptrdiff_t>(n));
-        for (std::size_t i = 0; i < n; ++i)
-            marks[order[i].second] = true;
+        std::ranges::sort(order);
+        for (std::size_t turn = 0; turn < order.size(); ++turn)
+            turns[order[turn].second] = turn;
     }
-    return marks;
+    return turns;
+}
+
+// Returns the candidates that are not ejected; all if all are.
+std::vector<std::size_t> find_usable(std::span<const candidate> candidates,
+                                     const health_options& health,
+                                     time_point now)
+{
+    std::vector<std::size_t> usable(candidates.size());
+    std::iota(usable.begin(), usable.end(), std::size_t(0));
+    std::vector<std::size_t> kept;
+    std::ranges::copy_if(
+        usable, std::back_inserter(kept),
+        [&](std::size_t i)
+        { return !is_ejected(*candidates[i].load, health, now); });
+    return kept.empty() ? usable : kept;
+}
+
+// Returns whether the server can warm up for an object at nobody's cost.
+bool has_room_to_warm(const candidate& it, const ranking_options& options,
+                      const health_options& health, time_point now)
+{
+    const auto slots = static_cast<double>(std::max(1U, it.server->slots));
+    return load_of(*it.load, health, now) + 1 <=
+           std::max(1.0, slots * options.warming_load);
+}
+
+// Returns the first in the object's order among those that cost little more
+// than the cheapest.
+const ranked_server* choose_cold(std::span<const ranked_server> cold,
+                                 std::span<const std::size_t> turns,
+                                 const ranking_options& options)
+{
+    if (cold.empty())
+        return nullptr;
+    const auto most =
+        std::ranges::min_element(cold, {}, &ranked_server::cost_ms)->cost_ms *
+        options.alike_factor;
+    const ranked_server* first = nullptr;
+    for (const auto& it : cold)
+        if (it.cost_ms <= most &&
+            (first == nullptr || turns[it.position] < turns[first->position]))
+            first = &it;
+    return first;
 }
 
 double round_trip_ms(const candidate& it, const ranking_options& options)
@@ -163,26 +210,29 @@
               const ranking_options& options, const health_options& health,
               bool free_slots_only, time_point now)
 {
-    const auto marks = mark_copies(candidates, object, options.copies);
-    std::vector<std::size_t> usable;
-    for (std::size_t i = 0; i < candidates.size(); ++i)
-        if (!is_ejected(*candidates[i].load, health, now))
-            usable.push_back(i);
-    if (usable.empty())
-    {
-        usable.resize(candidates.size());
-        std::iota(usable.begin(), usable.end(), std::size_t(0));
-    }
+    const auto usable = find_usable(candidates, health, now);
+    const auto turns = order_servers(candidates, usable, object);
     std::optional<ranked_server> best;
+    std::vector<ranked_server> cold;
     for (const auto i : usable)
     {
-        auto it = price(candidates[i], marks[i], times, options, health, now);
-        it.position = i;
-        if (free_slots_only && it.queue_factor > 0)
+        const auto& it = candidates[i];
+        const bool warm = turns[i] < options.copies || it.remembered;
+        auto ranked = price(it, warm, times, options, health, now);
+        ranked.position = i;
+        if (free_slots_only && ranked.queue_factor > 0)
             continue;
-        if (!best || it.cost_ms < best->cost_ms)
-            best = it;
+        if (!warm)
+        {
+            if (has_room_to_warm(it, options, health, now))
+                cold.push_back(ranked);
+        }
+        else if (!best || ranked.cost_ms < best->cost_ms)
+            best = ranked;
     }
+    const auto* spare = choose_cold(cold, turns, options);
+    if (spare != nullptr && (!best || spare->cost_ms < best->cost_ms))
+        best = *spare;
     return best;
 }
 
--- a/src/steering/server_ranking.hpp
+++ b/src/steering/server_ranking.hpp
@@ -5,7 +5,8 @@
 // Requests for one object meet one server of a region, by rendezvous order,
 // because a server works several times faster on an object that it has handled
 // recently. A request leaves those servers, its failure domain or its region
-// only if waiting there costs more.
+// only if waiting there costs more, and then goes to the next server in that
+// order, so that all instances warm up the same one.
 
 #include <parsleyplank/steering/server_load.hpp>
 #include <parsleyplank/steering/server_registry.hpp>
@@ -44,6 +45,14 @@
     std::chrono::microseconds region_crossing_per_kb{1'000};
     // Cost of a failure average of 1, as a multiple of the service time.
     double failure_cost = 4.0;
+    // Part of a server's slots up to which it takes objects that it does not
+    // keep. A cold request holds a slot several times as long as a warm one, so
+    // that a region whose spare slots all went to cold requests would not
+    // recover from a burst.
+    double warming_load = 0.5;
+    // Servers that would take an object cold count as alike within this factor
+    // of the cheapest; the object's order then decides.
+    double alike_factor = 1.5;
 };
 
 // Servers among which objects are divided. A region's servers have to warm up
@@ -135,8 +144,9 @@
 // Returns the initial service times of a route.
 service_times initial_times(milliseconds target_latency);
 
-// Returns the cheapest candidate, or nothing if there is none. Ejected servers
-// count only if all are ejected.
+// Returns the cheapest of the servers that keep the object or, if that costs
+// less, the first server in the object's order with room to warm up for it.
+// Nothing if there is neither. Ejected servers count only if all are ejected.
 // With free_slots_only, those where the request would wait do not count.
 std::optional<ranked_server>
 choose_server(std::span<const candidate> candidates,
--- a/test/correctness/steering_server_ranking.cpp
+++ b/test/correctness/steering_server_ranking.cpp
@@ -61,6 +61,9 @@
     CPPUNIT_TEST(a_full_server_is_left_once_waiting_costs_more);
     CPPUNIT_TEST(own_failure_domain_goes_first);
     CPPUNIT_TEST(an_idle_server_is_found_when_the_warm_one_is_full);
+    CPPUNIT_TEST(all_instances_warm_up_the_same_second_server);
+    CPPUNIT_TEST(a_burst_does_not_fill_a_region_with_cold_requests);
+    CPPUNIT_TEST(the_next_server_keeps_the_objects_of_an_ejected_one);
     CPPUNIT_TEST(objects_go_to_regions_with_room_only);
     CPPUNIT_TEST(a_silent_server_gets_nothing_more);
     CPPUNIT_TEST(a_failing_server_is_ejected_and_tried_again);
@@ -82,14 +85,20 @@
         return group;
     }
 
+    std::optional<ranked_server> ranked(server_group& group,
+                                        const std::string& key, time_point now,
+                                        const std::string& domain = "oslo-a")
+    {
+        return choose_server(group.candidates(domain, "oslo"),
+                             {key, group_kind, region_id("bergen")}, times,
+                             options, health, free_only, now);
+    }
+
     std::string chosen(server_group& group, const std::string& key,
-                       time_point now)
+                       time_point now, const std::string& domain = "oslo-a")
     {
-        const auto list = group.candidates("oslo-a", "oslo");
-        const auto it =
-            choose_server(list, {key, group_kind, region_id("bergen")}, times,
-                          options, health, free_only, now);
-        return it ? list[it->position].server->id.value : "";
+        const auto it = ranked(group, key, now, domain);
+        return it ? group.servers[it->position]->id.value : "";
     }
 
 public:
@@ -181,6 +190,59 @@
         CPPUNIT_ASSERT(!chosen(group, "7", start).empty());
     }
 
+    // Pattern: each instance sent what its object's full server could not take
+    // to another idle one, so that the object was cold nearly everywhere.
+    void all_instances_warm_up_the_same_second_server()
+    {
+        for (int key = 0; key < 24; ++key)
+        {
+            const auto name = std::to_string(key);
+            std::set<std::string> seconds;
+            for (const std::string domain : {"oslo-a", "oslo-b"})
+            {
+                server_group group;
+                for (const std::string n : {"1", "2", "3"})
+                {
+                    group.add("a" + n, "oslo-a", "oslo");
+                    group.add("b" + n, "oslo-b", "oslo");
+                }
+                const auto first = chosen(group, name, start, domain);
+                occupy(group.loads[backend_server_id(first)], 14, start);
+                seconds.insert(chosen(group, name, start, domain));
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), seconds.size());
+        }
+    }
+
+    // Pattern: a burst filled the servers of a region with requests for cold
+    // objects, which take three times as long; it was still late 20 s after the
+    // burst, with a load that it bears warm.
+    void a_burst_does_not_fill_a_region_with_cold_requests()
+    {
+        auto group = one_domain(3);
+        const auto first = chosen(group, "7", start);
+        occupy(group.loads[backend_server_id(first)], 14, start);
+        for (const auto& it : group.servers)
+            if (it->id.value != first)
+                occupy(group.loads[it->id], 2, start);
+        CPPUNIT_ASSERT_EQUAL(first, chosen(group, "7", start));
+        free_only = true;
+        CPPUNIT_ASSERT_EQUAL(std::string(), chosen(group, "7", start));
+    }
+
+    // Pattern: requests for an object whose server had failed counted as cold
+    // everywhere and were refused, although the next server had it warm.
+    void the_next_server_keeps_the_objects_of_an_ejected_one()
+    {
+        auto group = one_domain(3);
+        const auto first = chosen(group, "7", start);
+        group.loads[backend_server_id(first)].ejected_until =
+            start + health.ejection_base;
+        const auto second = ranked(group, "7", start);
+        CPPUNIT_ASSERT(second && second->warm);
+        CPPUNIT_ASSERT(first != group.servers[second->position]->id.value);
+    }
+
     // Pattern: a region with spare slots sent requests to the one that lacks
     // them, because it seldom hears how full its servers are.
     void objects_go_to_regions_with_room_only()
