Take servers without a recent report for as full as their region

Ruled out: loads in digests, 5 KB/s an instance at 60 instances, above the bound of 2 KB/s for control. Change: as a report ages, the average of the region's servers replaces it. The average falls without reports, so that a region that was avoided is tried again. Test a_server_without_a_recent_report_counts_as_full_as_its_region.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -328,7 +328,7 @@
         const auto report =
             parse_load(header_value(result.response, names.server_load));
         if (report)
-            steering::record_report(load, *report, at);
+            take_report(state, *placed.server, *report, at);
         const auto status = result.response.result_int();
         const bool refused =
             !header_value(result.response, names.not_executed).empty();
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -103,10 +103,14 @@
         const bool cold = is_cold(*server, load, now);
         if (cold && !cold_budget_allows(state, *server, load, now))
             continue;
-        found.push_back(
-            {server, &load, distance_to(state.config, *server), cold,
-             steering::remembers_object(load, object, state.options.health,
-                                        now)});
+        const auto typical = steering::typical_per_slot(
+            state.typical[{server->service, server->region}],
+            state.options.health, now);
+        found.push_back({server, &load, distance_to(state.config, *server),
+                         cold,
+                         steering::remembers_object(load, object,
+                                                    state.options.health, now),
+                         typical * server->slots});
     }
     return found;
 }
@@ -407,6 +411,17 @@
                           it->second.rate);
 }
 
+void take_report(traffic_state& state, const steering::backend_server& server,
+                 const steering::reported_load& report, time_point now)
+{
+    auto& load = state.loads[server.id];
+    steering::record_report(load, report, now);
+    steering::record_typical(
+        state.typical[{server.service, server.region}],
+        load.others / static_cast<double>(std::max(1U, server.slots)),
+        state.options.health, now);
+}
+
 void count_send(traffic_state& state, const service_id& service)
 {
     placement::record_request(budget_of(state, service));
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -48,6 +48,7 @@
     traffic_options options;
     snapshot_ptr snapshot = std::make_shared<const steering_snapshot>();
     std::unordered_map<backend_server_id, steering::server_load> loads;
+    std::map<std::pair<service_id, region_id>, steering::typical_load> typical;
     std::map<std::pair<route_id, service_id>, steering::service_times> times;
     std::unordered_map<customer_id, quota::token_bucket> buckets;
     // Tokens of the region that this instance holds for the others.
@@ -139,6 +140,10 @@
 milliseconds quota_wait(const traffic_state& state,
                         const steering::traffic_customer& of);
 
+// Takes the load that a server has reported with a response.
+void take_report(traffic_state& state, const steering::backend_server& server,
+                 const steering::reported_load& report, time_point now);
+
 // Counts a first send to the service, which pays for later repeats.
 void count_send(traffic_state& state, const service_id& service);
 
--- a/src/steering/server_load.cpp
+++ b/src/steering/server_load.cpp
@@ -69,11 +69,27 @@
     load.others_at = now;
 }
 
-double load_of(const server_load& load, const health_options& options,
-               time_point now)
+double typical_per_slot(const typical_load& typical,
+                        const health_options& options, time_point now)
+{
+    return typical.per_slot * decay(typical.at, options.report_half_life, now);
+}
+
+void record_typical(typical_load& typical, double others_per_slot,
+                    const health_options& options, time_point now)
+{
+    typical.per_slot = typical_per_slot(typical, options, now);
+    typical.per_slot +=
+        (others_per_slot - typical.per_slot) * options.typical_weight;
+    typical.at = now;
+}
+
+double load_of(const server_load& load, double typical_others,
+               const health_options& options, time_point now)
 {
-    return static_cast<double>(load.in_flight.size()) +
-           load.others * decay(load.others_at, options.report_half_life, now);
+    const auto known = decay(load.others_at, options.report_half_life, now);
+    return static_cast<double>(load.in_flight.size()) + load.others * known +
+           typical_others * (1 - known);
 }
 
 double slowness_of(const server_load& load, const health_options& options,
--- a/src/steering/server_load.hpp
+++ b/src/steering/server_load.hpp
@@ -31,8 +31,10 @@
     // times this factor, and nothing has been received since it was sent.
     double silence_factor = 3.0;
     milliseconds least_silence{400};
-    // Time constant with which the load of other callers is forgotten.
+    // Time in which the weight of a report of the load of other callers halves.
     milliseconds report_half_life{700};
+    // Weight of one report in the average of a region.
+    double typical_weight = 0.1;
     // Time in which what is known of a slow server halves, so that it is tried
     // again.
     milliseconds slowness_half_life{3'000};
@@ -56,6 +58,14 @@
     milliseconds expected;
 };
 
+// Average over the servers of a service in a region of the requests of other
+// callers per slot, as reports show them.
+struct typical_load
+{
+    double per_slot = 0;
+    time_point at{};
+};
+
 struct server_load
 {
     std::map<std::uint64_t, in_flight_request> in_flight;
@@ -104,9 +114,20 @@
 void record_report(server_load& load, const reported_load& report,
                    time_point now);
 
-// Returns the requests at the server, own ones and an estimate of others.
-double load_of(const server_load& load, const health_options& options,
-               time_point now);
+// Adds a server's load by other callers to the average of its region.
+void record_typical(typical_load& typical, double others_per_slot,
+                    const health_options& options, time_point now);
+
+// Returns the average as of now. It falls without reports, so that a region
+// that was avoided is tried again.
+double typical_per_slot(const typical_load& typical,
+                        const health_options& options, time_point now);
+
+// Returns the requests at the server: own ones, and those of others by its last
+// report. As the report ages, what is typical of the server's region replaces
+// it: in a large fleet an instance seldom meets the same server.
+double load_of(const server_load& load, double typical_others,
+               const health_options& options, time_point now);
 
 // Returns the slowness as of now.
 double slowness_of(const server_load& load, const health_options& options,
--- a/src/steering/server_ranking.hpp
+++ b/src/steering/server_ranking.hpp
@@ -122,6 +122,8 @@
     bool cold = false;
     // Whether this instance has lately had the object served there.
     bool remembered = false;
+    // Requests of other callers that a server of this region has usually.
+    double typical_others = 0;
 };
 
 struct ranked_server
--- a/test/correctness/steering_server_ranking.cpp
+++ b/test/correctness/steering_server_ranking.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(all_instances_warm_up_the_same_second_server);
     CPPUNIT_TEST(a_burst_does_not_fill_a_region_with_cold_requests);
     CPPUNIT_TEST(the_next_server_keeps_the_objects_of_an_ejected_one);
+    CPPUNIT_TEST(a_server_without_a_recent_report_counts_as_full_as_its_region);
     CPPUNIT_TEST(objects_go_to_regions_with_room_only);
     CPPUNIT_TEST(a_silent_server_gets_nothing_more);
     CPPUNIT_TEST(a_failing_server_is_ejected_and_tried_again);
@@ -243,6 +244,31 @@
         CPPUNIT_ASSERT(first != group.servers[second->position]->id.value);
     }
 
+    // Pattern: 40 instances met the same server every two seconds each, took it
+    // for idle by then, and kept a queue of 14 requests there for 12 s.
+    void a_server_without_a_recent_report_counts_as_full_as_its_region()
+    {
+        typical_load typical;
+        auto now = start;
+        for (int n = 0; n < 40; ++n)
+        {
+            now += milliseconds(100);
+            record_typical(typical, 3, health, now);
+        }
+        server_load load;
+        record_report(load, {4, 8, 4}, now);
+        const auto full = 3 * 4.0;
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(full, load_of(load, 0, health, now), 0.1);
+        now += milliseconds(2'000);
+        record_typical(typical, 3, health, now);
+        const auto others = 4 * typical_per_slot(typical, health, now);
+        CPPUNIT_ASSERT(load_of(load, 0, health, now) < full / 4);
+        CPPUNIT_ASSERT(load_of(load, others, health, now) > full / 4);
+        // Without reports the region is tried again.
+        now += 6 * health.report_half_life;
+        CPPUNIT_ASSERT(4 * typical_per_slot(typical, health, now) < 0.5);
+    }
+
     // Pattern: a region with spare slots sent requests to the one that lacks
     // them, because it seldom hears how full its servers are.
     void objects_go_to_regions_with_room_only()
