Move objects only to regions with room, and never to the own one

The region that takes an object was chosen among all regions, this one included; for objects that fell to their own region, any server of another region counted alike, and the first in the list, those of the poor region doto, had to warm up for them: 326 of the 570 reads that doto's servers ran for their own region were late. Change: the region is chosen among the others, those with spare slots first, and requests with an object go to that one only, unless neither it nor this region has a server for them. Test objects_never_move_to_a_region_that_lacks_slots.

--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -173,17 +173,39 @@
         { return it.away != steering::distance::other_region; });
 }
 
+// Returns the region that takes the object if it leaves this one: one with
+// spare slots or, if no other region has any, one of the others by its slots.
+region_id find_refuge(const traffic_state& state,
+                      const placement_request& request,
+                      std::span<const steering::candidate> abroad)
+{
+    const auto surplus = state.surplus.find(request.service);
+    if (surplus == state.surplus.end())
+        return {};
+    std::map<region_id, double> slots;
+    for (const auto& it : abroad)
+        slots[it.server->region] += it.server->slots;
+    std::vector<steering::region_surplus> others;
+    std::ranges::copy_if(surplus->second, std::back_inserter(others),
+                         [&](const steering::region_surplus& it)
+                         { return slots.contains(it.region); });
+    const auto found = steering::choose_refuge(request.affinity_key, others);
+    if (!found.value.empty())
+        return found;
+    for (auto& it : others)
+        it.slots = slots[it.region];
+    return steering::choose_refuge(request.affinity_key, others);
+}
+
 std::optional<server_placement>
 choose_among(traffic_state& state, const placement_request& request,
              std::span<const steering::candidate> candidates,
-             bool free_slots_only, time_point now)
+             const region_id& refuge, bool free_slots_only, time_point now)
 {
     steering::object_affinity object;
     if (request.route.affinity)
         object.key = request.affinity_key;
-    const auto surplus = state.surplus.find(request.service);
-    if (surplus != state.surplus.end())
-        object.refuge = steering::choose_refuge(object.key, surplus->second);
+    object.refuge = refuge;
     if (request.route.large_body)
         object.group = steering::object_group::domain;
     const auto chosen = steering::choose_server(
@@ -307,9 +329,17 @@
     keep_version(state, request.service, candidates);
     const auto abroad = split_by_region(candidates);
     const std::span near_servers(candidates.begin(), abroad);
-    auto near = choose_among(state, request, near_servers, false, now);
+    const auto refuge = find_refuge(state, request, {abroad, candidates.end()});
+    const auto others = std::stable_partition(
+        abroad, candidates.end(),
+        [&](const steering::candidate& it)
+        { return !request.route.affinity || it.server->region == refuge; });
+    auto near = choose_among(state, request, near_servers, refuge, false, now);
     auto far =
-        choose_among(state, request, {abroad, candidates.end()}, false, now);
+        choose_among(state, request, {abroad, others}, refuge, false, now);
+    if (!near && !far)
+        far = choose_among(state, request, {others, candidates.end()}, refuge,
+                           false, now);
     placement_decision decision;
     if (near && far && leaves_region(state, request, *near, *far, now))
         near.reset();
@@ -321,7 +351,8 @@
     decision.rank = decision.placed->rank;
     if (decision.rank.queueing > milliseconds(0) &&
         decision.rank.expected > request.time_left)
-        decision.placed = choose_among(state, request, near_servers, true, now);
+        decision.placed =
+            choose_among(state, request, near_servers, refuge, true, now);
     if (decision.placed)
         decision.rank = decision.placed->rank;
     return decision;
--- /dev/null
+++ b/test/correctness/edge_placement.cpp
@@ -0,0 +1,161 @@
+// Guards the choice of a region and a server over a whole snapshot: requests
+// leave their region only for one that has room, and a full region refuses
+// instead of letting all of them wait.
+
+#include <parsleyplank/edge/traffic_state.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+using namespace parsleyplank;
+using namespace parsleyplank::edge;
+
+namespace
+{
+
+// Three regions with an instance each: this one and bergen have spare slots,
+// trondheim lacks them.
+class edge_placement : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(edge_placement);
+    CPPUNIT_TEST(objects_never_move_to_a_region_that_lacks_slots);
+    CPPUNIT_TEST(without_servers_of_its_own_a_region_uses_any_other);
+    CPPUNIT_TEST(a_request_that_would_wait_in_vain_is_refused);
+    CPPUNIT_TEST(a_request_takes_the_credit_of_a_target_version_once);
+    CPPUNIT_TEST_SUITE_END();
+
+    const time_point now{std::chrono::hours(1)};
+    const service_id parts{"parts"};
+    steering::traffic_route route;
+    traffic_state state;
+    std::shared_ptr<steering_snapshot> next =
+        std::make_shared<steering_snapshot>();
+
+    void add_server(const std::string& id, const std::string& region,
+                    const std::string& version = "1")
+    {
+        steering::backend_server it;
+        it.id = backend_server_id(id);
+        it.service = parts;
+        it.region = region_id(region);
+        it.domain = failure_domain_id(region + "-a");
+        it.version = version_id(version);
+        it.slots = 4;
+        next->servers[parts].push_back(
+            std::make_shared<const steering::backend_server>(it));
+    }
+
+    void add_servers(const std::string& region, int count)
+    {
+        for (int n = 0; n < count; ++n)
+            add_server(region + std::to_string(n), region);
+    }
+
+    placement_decision place(const std::string& object)
+    {
+        return place_request(
+            state, {route, nullptr, parts, object, {}, milliseconds(600)}, now);
+    }
+
+    // Returns how many of the objects go to each region.
+    std::map<std::string, int> regions_of(int objects)
+    {
+        std::map<std::string, int> counts;
+        for (int n = 0; n < objects; ++n)
+        {
+            const auto decision = place(std::to_string(n));
+            ++counts[decision.placed ? decision.placed->server->region.value
+                                     : ""];
+        }
+        return counts;
+    }
+
+public:
+    void setUp() override
+    {
+        state.config.id = instance_id("edge-1");
+        state.config.region = region_id("oslo");
+        state.config.domain = failure_domain_id("oslo-a");
+        route.id = route_id("read");
+        route.affinity = true;
+        route.target_latency = milliseconds(600);
+        route.services = {{parts, 1}};
+        next->routing = std::make_shared<const steering::routing_table>();
+        for (const std::string region : {"oslo", "bergen", "trondheim"})
+            next->members.push_back({instance_id("edge-" + region),
+                                     failure_domain_id(region + "-a"),
+                                     region_id(region),
+                                     {}});
+    }
+
+    // Pattern: while a failure domain was evacuated, a rich region moved
+    // objects that it would have kept itself to the servers of the poor one,
+    // which had to warm up for them: 326 of the 570 reads of the poor region
+    // that its own servers ran were late.
+    void objects_never_move_to_a_region_that_lacks_slots()
+    {
+        add_servers("trondheim", 1);
+        add_servers("oslo", 10);
+        add_servers("bergen", 10);
+        adopt_snapshot(state, next, now);
+        state.shift = steering::region_shift{};
+        state.shift->moved = 1;
+        state.shift->updated = now;
+        const auto counts = regions_of(60);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), counts.size());
+        CPPUNIT_ASSERT_EQUAL(60, counts.at("bergen"));
+    }
+
+    void without_servers_of_its_own_a_region_uses_any_other()
+    {
+        add_servers("bergen", 3);
+        add_servers("trondheim", 3);
+        adopt_snapshot(state, next, now);
+        const auto counts = regions_of(60);
+        CPPUNIT_ASSERT(!counts.contains(""));
+    }
+
+    // Pattern: the servers of a region were full for 20 s, and all requests
+    // waited there beyond their latency objective.
+    void a_request_that_would_wait_in_vain_is_refused()
+    {
+        add_servers("oslo", 2);
+        adopt_snapshot(state, next, now);
+        for (const auto& it : next->servers[parts])
+            take_report(state, *it, {4, 8, 4}, now);
+        const auto decision = place("7");
+        CPPUNIT_ASSERT(!decision.placed);
+        CPPUNIT_ASSERT(decision.reason == refusal_reason::no_capacity);
+        CPPUNIT_ASSERT(decision.rank.expected > milliseconds(600));
+    }
+
+    // Pattern: a request that would wait was placed twice and took the credit
+    // twice, so that the target got half of its share.
+    void a_request_takes_the_credit_of_a_target_version_once()
+    {
+        add_server("old", "oslo");
+        add_server("new", "oslo", "2");
+        version_policy policy;
+        policy.target = version_id("2");
+        policy.target_share = share_ppm{ppm_total / 4};
+        next->versions[parts] = policy;
+        adopt_snapshot(state, next, now);
+        // Requests for the old version would wait in vain.
+        take_report(state, *next->servers[parts].front(), {4, 12, 4}, now);
+        int moved = 0;
+        for (int n = 0; n < 40; ++n)
+        {
+            const auto decision = place("7");
+            moved +=
+                decision.placed && decision.placed->server->version.value == "2"
+                    ? 1
+                    : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(10, moved);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(edge_placement);
+
+} // namespace
