Keep objects in a region that is no poorer than the others

Ruled out: servers that are slow by themselves; they answered in 0.3 s before. Change: without spare slots elsewhere, objects leave only for a region that lacks no more than this one. Test the_richest_region_keeps_its_objects.

--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace parsleyplank::edge
 {
@@ -174,26 +175,30 @@
 }
 
 // Returns the region that takes the object if it leaves this one: one with
-// spare slots or, if no other region has any, one of the others by its slots.
+// spare slots, else one that lacks no more than this one. Empty if there is
+// none.
 region_id find_refuge(const traffic_state& state,
                       const placement_request& request,
                       std::span<const steering::candidate> abroad)
 {
-    const auto surplus = state.surplus.find(request.service);
-    if (surplus == state.surplus.end())
+    const auto known = state.surplus.find(request.service);
+    if (known == state.surplus.end())
         return {};
     std::map<region_id, double> slots;
     for (const auto& it : abroad)
         slots[it.server->region] += it.server->slots;
+    double own = std::numeric_limits<double>::lowest();
     std::vector<steering::region_surplus> others;
-    std::ranges::copy_if(surplus->second, std::back_inserter(others),
-                         [&](const steering::region_surplus& it)
-                         { return slots.contains(it.region); });
+    for (const auto& it : known->second)
+        if (it.region == state.config.region)
+            own = it.slots;
+        else if (slots.contains(it.region))
+            others.push_back(it);
     const auto found = steering::choose_refuge(request.affinity_key, others);
     if (!found.value.empty())
         return found;
     for (auto& it : others)
-        it.slots = slots[it.region];
+        it.slots = it.slots >= own ? slots[it.region] : 0;
     return steering::choose_refuge(request.affinity_key, others);
 }
 
--- a/test/correctness/edge_placement.cpp
+++ b/test/correctness/edge_placement.cpp
@@ -20,6 +20,7 @@
 {
     CPPUNIT_TEST_SUITE(edge_placement);
     CPPUNIT_TEST(objects_never_move_to_a_region_that_lacks_slots);
+    CPPUNIT_TEST(the_richest_region_keeps_its_objects);
     CPPUNIT_TEST(without_servers_of_its_own_a_region_uses_any_other);
     CPPUNIT_TEST(a_request_that_would_wait_in_vain_is_refused);
     CPPUNIT_TEST(a_request_takes_the_credit_of_a_target_version_once);
@@ -107,6 +108,21 @@
         CPPUNIT_ASSERT_EQUAL(60, counts.at("bergen"));
     }
 
+    // Pattern: while half of the second region was evacuated, the richest one
+    // sent objects to both others; ten servers of the poor region met 80
+    // objects each, kept none of them, and were late with every request.
+    void the_richest_region_keeps_its_objects()
+    {
+        add_servers("trondheim", 1);
+        add_servers("bergen", 5);
+        add_servers("oslo", 10);
+        adopt_snapshot(state, next, now);
+        state.shift = steering::region_shift{};
+        state.shift->moved = 1;
+        state.shift->updated = now;
+        CPPUNIT_ASSERT_EQUAL(60, regions_of(60)["oslo"]);
+    }
+
     void without_servers_of_its_own_a_region_uses_any_other()
     {
         add_servers("bergen", 3);
