Send homed requests to the server that keeps their object

From elsewhere their requests went to any server of doto with room, cold each time: 50 a second, 30 of its 60 slots. Change: if this region has no server for a request, its object goes to one server of a region that has, in the same order as there. Test a_customer_of_a_poor_region_meets_warm_servers_from_elsewhere.

--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -175,11 +175,12 @@
 }
 
 // Returns the region that takes the object if it leaves this one: one with
-// spare slots, else one that lacks no more than this one. Empty if there is
-// none.
+// spare slots, else one that lacks no more than this one, or any if this region
+// has no server for the request. Empty if there is none.
 region_id find_refuge(const traffic_state& state,
                       const placement_request& request,
-                      std::span<const steering::candidate> abroad)
+                      std::span<const steering::candidate> abroad,
+                      bool must_leave)
 {
     const auto known = state.surplus.find(request.service);
     if (known == state.surplus.end())
@@ -190,7 +191,7 @@
     double own = std::numeric_limits<double>::lowest();
     std::vector<steering::region_surplus> others;
     for (const auto& it : known->second)
-        if (it.region == state.config.region)
+        if (it.region == state.config.region && !must_leave)
             own = it.slots;
         else if (slots.contains(it.region))
             others.push_back(it);
@@ -334,7 +335,8 @@
     keep_version(state, request.service, candidates);
     const auto abroad = split_by_region(candidates);
     const std::span near_servers(candidates.begin(), abroad);
-    const auto refuge = find_refuge(state, request, {abroad, candidates.end()});
+    const auto refuge = find_refuge(state, request, {abroad, candidates.end()},
+                                    near_servers.empty());
     const auto others = std::stable_partition(
         abroad, candidates.end(),
         [&](const steering::candidate& it)
--- a/test/correctness/edge_placement.cpp
+++ b/test/correctness/edge_placement.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(objects_never_move_to_a_region_that_lacks_slots);
     CPPUNIT_TEST(the_richest_region_keeps_its_objects);
     CPPUNIT_TEST(without_servers_of_its_own_a_region_uses_any_other);
+    CPPUNIT_TEST(a_customer_of_a_poor_region_meets_warm_servers_from_elsewhere);
     CPPUNIT_TEST(a_request_that_would_wait_in_vain_is_refused);
     CPPUNIT_TEST(a_request_takes_the_credit_of_a_target_version_once);
     CPPUNIT_TEST_SUITE_END();
@@ -132,6 +133,34 @@
         CPPUNIT_ASSERT(!counts.contains(""));
     }
 
+    // Pattern: requests that only the poor region may run came from the others
+    // to whichever of its servers had room, cold each time, and took half of
+    // its slots.
+    void a_customer_of_a_poor_region_meets_warm_servers_from_elsewhere()
+    {
+        add_servers("oslo", 10);
+        add_servers("bergen", 10);
+        add_servers("trondheim", 4);
+        adopt_snapshot(state, next, now);
+        traffic_state local;
+        local.config = state.config;
+        local.config.region = region_id("trondheim");
+        local.config.domain = failure_domain_id("trondheim-a");
+        adopt_snapshot(local, next, now);
+        route.allowed_regions = {region_id("trondheim")};
+        for (int n = 0; n < 20; ++n)
+        {
+            const auto object = std::to_string(n);
+            const auto decision = place(object);
+            CPPUNIT_ASSERT(decision.placed && decision.rank.warm);
+            const auto at_home = place_request(
+                local, {route, nullptr, parts, object, {}, milliseconds(600)},
+                now);
+            CPPUNIT_ASSERT_EQUAL(at_home.placed->server->id.value,
+                                 decision.placed->server->id.value);
+        }
+    }
+
     // Pattern: the servers of a region were full for 20 s, and all requests
     // waited there beyond their latency objective.
     void a_request_that_would_wait_in_vain_is_refused()
