Average the load of a region over its recent reports

An instance hears from a region once or twice a second there; the average gave each report a tenth and halved every 0.7 s, so that it stood at a fifth of the truth. Change: the average is the mean of the reports, weighted by age; it fades only when none come. Test a_server_without_a_recent_report_counts_as_full_as_its_region.

--- a/src/steering/server_load.cpp
+++ b/src/steering/server_load.cpp
@@ -72,15 +72,18 @@
 double typical_per_slot(const typical_load& typical,
                         const health_options& options, time_point now)
 {
-    return typical.per_slot * decay(typical.at, options.report_half_life, now);
+    if (typical.weight <= 0)
+        return 0;
+    return typical.sum / typical.weight *
+           decay(typical.at, options.typical_half_life, now);
 }
 
 void record_typical(typical_load& typical, double others_per_slot,
                     const health_options& options, time_point now)
 {
-    typical.per_slot = typical_per_slot(typical, options, now);
-    typical.per_slot +=
-        (others_per_slot - typical.per_slot) * options.typical_weight;
+    const auto kept = decay(typical.at, options.report_half_life, now);
+    typical.sum = typical.sum * kept + others_per_slot;
+    typical.weight = typical.weight * kept + 1;
     typical.at = now;
 }
 
--- a/src/steering/server_load.hpp
+++ b/src/steering/server_load.hpp
@@ -33,8 +33,9 @@
     milliseconds least_silence{400};
     // Time in which the weight of a report of the load of other callers halves.
     milliseconds report_half_life{700};
-    // Weight of one report in the average of a region.
-    double typical_weight = 0.1;
+    // Time without reports in which the average of a region halves, so that a
+    // region that was avoided is tried again.
+    milliseconds typical_half_life{1'500};
     // Time in which what is known of a slow server halves, so that it is tried
     // again.
     milliseconds slowness_half_life{3'000};
@@ -59,10 +60,11 @@
 };
 
 // Average over the servers of a service in a region of the requests of other
-// callers per slot, as reports show them.
+// callers per slot, as reports show them. Reports count less as they age.
 struct typical_load
 {
-    double per_slot = 0;
+    double sum = 0;
+    double weight = 0;
     time_point at{};
 };
 
@@ -118,8 +120,7 @@
 void record_typical(typical_load& typical, double others_per_slot,
                     const health_options& options, time_point now);
 
-// Returns the average as of now. It falls without reports, so that a region
-// that was avoided is tried again.
+// Returns the average as of now. It falls without reports.
 double typical_per_slot(const typical_load& typical,
                         const health_options& options, time_point now);
 
--- a/test/correctness/edge_placement.cpp
+++ b/test/correctness/edge_placement.cpp
@@ -188,6 +188,7 @@
         adopt_snapshot(state, next, now);
         // Requests for the old version would wait in vain.
         take_report(state, *next->servers[parts].front(), {4, 12, 4}, now);
+        take_report(state, *next->servers[parts].back(), {0, 0, 4}, now);
         int moved = 0;
         for (int n = 0; n < 40; ++n)
         {
--- a/test/correctness/steering_server_ranking.cpp
+++ b/test/correctness/steering_server_ranking.cpp
@@ -264,8 +264,18 @@
         const auto others = 4 * typical_per_slot(typical, health, now);
         CPPUNIT_ASSERT(load_of(load, 0, health, now) < full / 4);
         CPPUNIT_ASSERT(load_of(load, others, health, now) > full / 4);
+        // An instance that hears from the region once a second knows it as
+        // well.
+        typical_load seldom;
+        for (int n = 0; n < 4; ++n)
+        {
+            now += milliseconds(1'000);
+            record_typical(seldom, 3, health, now);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3, typical_per_slot(seldom, health, now),
+                                     0.1);
         // Without reports the region is tried again.
-        now += 6 * health.report_half_life;
+        now += 6 * health.typical_half_life;
         CPPUNIT_ASSERT(4 * typical_per_slot(typical, health, now) < 0.5);
     }
 
