--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -314,78 +314,93 @@
                            const proxy::call_result& result)
 {
     using proxy::call_end;
-    auto& state = context.state;
-    auto& load = state.loads[placed.server->id];
-    const auto at = now();
-    const auto& names = context.platform.headers;
+    auto& load = context.state.loads[placed.server->id];
     if (result.connect_time)
         load.round_trip = *result.connect_time;
     auto verdict = steering::request_result::neutral;
-    bool failed = false;
     if (result.end == call_end::answered)
-    {
-        load.heard_at = at;
-        const auto report =
-            parse_load(header_value(result.response, names.server_load));
-        if (report)
-            take_report(state, *placed.server, *report, at);
-        const auto status = result.response.result_int();
-        const bool refused =
-            !header_value(result.response, names.not_executed).empty();
-        failed = status >= first_server_error && !refused;
-        const bool refused_idle =
-            refused && report && report->running < report->slots;
-        verdict = failed || refused_idle || status == status_misdirected
-                      ? steering::request_result::bad
-                  : refused ? steering::request_result::neutral
-                            : steering::request_result::good;
-        if (!failed && !refused && status != status_misdirected)
-        {
-            auto& times = times_of(state, *route, service);
-            const auto usual = times.warm_ms * (1 + placed.rank.queue_factor) *
-                               (placed.rank.warm ? 1 : times.cold_factor + 1);
-            const bool slow =
-                !placed.cold &&
-                static_cast<double>(result.latency.count()) / 1'000 >
-                    usual * state.options.slow_factor;
-            count_result(state, placed, false, slow);
-            steering::remember_object(
-                load, steering::object_number(route->id, affinity_key),
-                state.options.health, at);
-            if (!placed.cold)
-                steering::record_latency(times, load, placed.rank,
-                                         result.latency, state.options.ranking,
-                                         state.options.health, at);
-            steering::record_size(times,
-                                  ex->request.body().size() +
-                                      result.response.body().size(),
-                                  state.options.ranking);
-        }
-    }
+        verdict = observe_answer(placed, result);
     else if (result.end != call_end::cancelled)
     {
         verdict = steering::request_result::bad;
-        failed = result.end != call_end::not_sent;
+        if (result.end != call_end::not_sent)
+            count_result(context.state, placed, true, false);
+        else
+            note_unreachable(placed);
     }
-    if (failed)
-        count_result(state, placed, true, false);
-    if (result.end == call_end::not_sent)
-    {
-        // It may come back as a new process, which is cold.
-        load.ejected_until = at + state.options.unreachable_pause;
-        const auto known = routing->services.find(service);
-        const auto warmup = known == routing->services.end()
-                                ? milliseconds(0)
-                                : known->second->warmup;
-        load.cold_until = load.ejected_until + warmup;
-        context.pool.drop(placed.server->id);
-    }
-    if (steering::record_result(load, verdict, state.options.health, at))
+    if (steering::record_result(load, verdict, context.state.options.health,
+                                now()))
         LOG4CPLUS_INFO(context.log, "server=" << placed.server->id.value
                                               << " event=ejected failure_level="
                                               << load.failure_level);
 }
 
+steering::request_result
+request_flow::observe_answer(const server_placement& placed,
+                             const proxy::call_result& result)
+{
+    auto& state = context.state;
+    const auto& names = context.platform.headers;
+    state.loads[placed.server->id].heard_at = now();
+    const auto report =
+        parse_load(header_value(result.response, names.server_load));
+    if (report)
+        take_report(state, *placed.server, *report, now());
+    const auto status = result.response.result_int();
+    const bool refused =
+        !header_value(result.response, names.not_executed).empty();
+    if (status == status_misdirected)
+        return steering::request_result::bad;
+    if (refused)
+        return report && report->running < report->slots
+                   ? steering::request_result::bad
+                   : steering::request_result::neutral;
+    if (status >= first_server_error)
+    {
+        count_result(state, placed, true, false);
+        return steering::request_result::bad;
+    }
+    learn_from_run(placed, result);
+    return steering::request_result::good;
+}
+
+void request_flow::learn_from_run(const server_placement& placed,
+                                  const proxy::call_result& result)
+{
+    auto& state = context.state;
+    auto& load = state.loads[placed.server->id];
+    auto& times = times_of(state, *route, service);
+    const auto usual = times.warm_ms * (1 + placed.rank.queue_factor) *
+                       (placed.rank.warm ? 1 : times.cold_factor + 1);
+    const bool slow =
+        !placed.cold && static_cast<double>(result.latency.count()) / 1'000 >
+                            usual * state.options.slow_factor;
+    count_result(state, placed, false, slow);
+    steering::remember_object(load,
+                              steering::object_number(route->id, affinity_key),
+                              state.options.health, now());
+    if (!placed.cold)
+        steering::record_latency(times, load, placed.rank, result.latency,
+                                 state.options.ranking, state.options.health,
+                                 now());
+    steering::record_size(
+        times, ex->request.body().size() + result.response.body().size(),
+        state.options.ranking);
+}
+
+void request_flow::note_unreachable(const server_placement& placed)
+{
+    // It may come back as a new process, which is cold.
+    auto& load = context.state.loads[placed.server->id];
+    load.ejected_until = now() + context.state.options.unreachable_pause;
+    const auto known = routing->services.find(service);
+    const auto warmup = known == routing->services.end()
+                            ? milliseconds(0)
+                            : known->second->warmup;
+    load.cold_until = load.ejected_until + warmup;
+    context.pool.drop(placed.server->id);
+}
+
 bool request_flow::may_repeat(retry_reason reason, bool reached_server)
 {
     if (reached_server && sends >= route->max_attempts)
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -61,8 +61,14 @@
                               proxy::call_result& result);
     next_step conclude_failure(const server_placement& placed,
                                const proxy::call_result& result);
+    // Learns from the end of a call what it tells of the server.
     void observe(const server_placement& placed,
                  const proxy::call_result& result);
+    steering::request_result observe_answer(const server_placement& placed,
+                                            const proxy::call_result& result);
+    void learn_from_run(const server_placement& placed,
+                        const proxy::call_result& result);
+    void note_unreachable(const server_placement& placed);
     bool may_repeat(retry_reason reason, bool reached_server);
     proxy::request_message make_request(const server_placement& placed) const;
     void deliver(proxy::response_message response);
