--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -174,6 +174,14 @@
         { return it.away != steering::distance::other_region; });
 }
 
+// Returns the key of the object that the request is for; empty if its route
+// keeps objects on no server.
+std::string_view object_of(const placement_request& request)
+{
+    return request.route.affinity ? std::string_view(request.affinity_key)
+                                  : std::string_view();
+}
+
 // Returns the region that takes the object if it leaves this one: one with
 // spare slots, else one that lacks no more than this one, or any if this region
 // has no server for the request. Empty if there is none.
@@ -195,12 +203,12 @@
             own = it.slots;
         else if (slots.contains(it.region))
             others.push_back(it);
-    const auto found = steering::choose_refuge(request.affinity_key, others);
+    auto found = steering::choose_refuge(object_of(request), others);
     if (!found.value.empty())
         return found;
     for (auto& it : others)
         it.slots = it.slots >= own ? slots[it.region] : 0;
-    return steering::choose_refuge(request.affinity_key, others);
+    return steering::choose_refuge(object_of(request), others);
 }
 
 std::optional<server_placement>
@@ -209,8 +217,7 @@
              const region_id& refuge, bool free_slots_only, time_point now)
 {
     steering::object_affinity object;
-    if (request.route.affinity)
-        object.key = request.affinity_key;
+    object.key = object_of(request);
     object.refuge = refuge;
     if (request.route.large_body)
         object.group = steering::object_group::domain;
@@ -231,8 +238,8 @@
     if (!state.shift)
         state.shift = start_shift(state, now);
     std::optional<double> place;
-    if (request.route.affinity && !request.affinity_key.empty())
-        place = steering::object_place(request.affinity_key);
+    if (const auto object = object_of(request); !object.empty())
+        place = steering::object_place(object);
     return steering::goes_abroad(*state.shift,
                                  near.rank.cost_ms - far.rank.cost_ms, place,
                                  state.options.shift, now);
@@ -340,7 +347,7 @@
     const auto others = std::stable_partition(
         abroad, candidates.end(),
         [&](const steering::candidate& it)
-        { return !request.route.affinity || it.server->region == refuge; });
+        { return object_of(request).empty() || it.server->region == refuge; });
     auto near = choose_among(state, request, near_servers, refuge, false, now);
     auto far =
         choose_among(state, request, {abroad, others}, refuge, false, now);
--- a/test/correctness/edge_placement.cpp
+++ b/test/correctness/edge_placement.cpp
@@ -54,6 +54,13 @@
             add_server(region + std::to_string(n), region);
     }
 
+    void move_all_objects()
+    {
+        state.shift = steering::region_shift{};
+        state.shift->moved = 1;
+        state.shift->updated = now;
+    }
+
     placement_decision place(const std::string& object)
     {
         return place_request(
@@ -101,9 +108,7 @@
         add_servers("oslo", 10);
         add_servers("bergen", 10);
         adopt_snapshot(state, next, now);
-        state.shift = steering::region_shift{};
-        state.shift->moved = 1;
-        state.shift->updated = now;
+        move_all_objects();
         const auto counts = regions_of(60);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), counts.size());
         CPPUNIT_ASSERT_EQUAL(60, counts.at("bergen"));
@@ -118,9 +123,7 @@
         add_servers("bergen", 5);
         add_servers("oslo", 10);
         adopt_snapshot(state, next, now);
-        state.shift = steering::region_shift{};
-        state.shift->moved = 1;
-        state.shift->updated = now;
+        move_all_objects();
         CPPUNIT_ASSERT_EQUAL(60, regions_of(60)["oslo"]);
     }
 
