Serve a configuration whose values are not all known

Ruled out: the store and the listing; event=record_skipped names the value on all instances.

Change: download is idempotent with a large body. A route of an unknown kind runs at most once, or is left out if it lacks what the known kinds have; the other routes hold. An unreadable server record takes its server out of use, where the earlier record of the same id held before. Numbers beyond their type no longer overflow; limits that are no object are named. Each such value is one log line, event=unknown_value, and counts in parsleyplank_unknown_values_total.

--- a/apps/parsleyplank-edge/main.cpp
+++ b/apps/parsleyplank-edge/main.cpp
@@ -65,7 +65,7 @@
     edge::traffic_plane traffic(config, adapter, counters);
     edge::control_plane control(
         config, adapter, [&] { return open_store(config); }, traffic,
-        edge::control_options_for(config.bounds));
+        counters, edge::control_options_for(config.bounds));
     control.watch_settings(file, [&] { reload(file, config); });
     control.run();
     // Exits without joining the threads that call the store: they may block for
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -82,10 +82,13 @@
 
 control_plane::control_plane(const settings& chosen, const adapter& adapted,
                              const store_factory& make_store,
-                             traffic_plane& plane, control_options opts)
-    : config(chosen), platform(adapted), traffic(plane), options(opts),
+                             traffic_plane& plane, telemetry::metrics& metrics,
+                             control_options opts)
+    : config(chosen), platform(adapted), traffic(plane), counters(metrics),
+      options(opts),
       log(component_logger("control")), io(1),
-      signals(io, SIGTERM, SIGINT, SIGHUP), tick_timer(io), removal_timer(io),
+      signals(io, SIGTERM, SIGINT, SIGHUP), tick_timer(io), heartbeat_timer(io),
+      removal_timer(io),
       peer_socket(io,
                   udp::endpoint(proxy::asio::ip::make_address(config.address),
                                 config.peer_port)),
@@ -331,6 +334,12 @@
         });
 }
 
+void control_plane::note_unknown_value(const std::string& detail)
+{
+    counters.count_unknown_value();
+    LOG4CPLUS_WARN(log, "event=unknown_value detail=\"" << detail << '"');
+}
+
 void control_plane::apply_entry(const store::entry& it)
 {
     const auto& layout = platform.layout;
@@ -373,8 +382,13 @@
     }
     catch (const error& ec)
     {
-        LOG4CPLUS_WARN(log, "event=record_skipped key="
-                                << it.key << " detail=\"" << ec.what() << '"');
+        note_unknown_value("record of key " + it.key + " skipped: " +
+                           ec.what());
+        // An unreadable record names no server to use, so an earlier one of
+        // the same id does not hold either.
+        if (const auto id = after_prefix(it.key, layout.server_prefix))
+            steering::remove_server(servers, backend_server_id(*id), now(),
+                                    now());
     }
 }
 
@@ -410,6 +424,8 @@
                             << next->version.value
                             << " routes=" << next->routes.size()
                             << " customers=" << next->customers.size());
+    for (const auto& it : next->unknown_values)
+        note_unknown_value(it);
 }
 
 void control_plane::apply_server(const store::entry& it)
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -77,7 +77,7 @@
 public:
     control_plane(const settings& config, const adapter& platform,
                   const store_factory& make_store, traffic_plane& traffic,
-                  control_options options);
+                  telemetry::metrics& counters, control_options options);
 
     // Runs the control loop until the drain after a stop signal (SIGTERM,
     // SIGINT) has ended.
@@ -96,6 +96,8 @@
     void apply_removal(const std::string& key);
     void apply_configuration(const store::entry& it);
     void apply_server(const store::entry& it);
+    // Logs and counts a value of the store that this version does not know.
+    void note_unknown_value(const std::string& detail);
     void note_store_response();
     void note_store_failure(const std::string& problem);
     time_point removal_time() const;
@@ -140,6 +142,7 @@
     const settings& config;
     const adapter& platform;
     traffic_plane& traffic;
+    telemetry::metrics& counters;
     control_options options;
     log4cplus::Logger log;
     proxy::asio::io_context io;
--- a/src/steering/traffic_config.hpp
+++ b/src/steering/traffic_config.hpp
@@ -41,7 +41,7 @@
     // Begins and ends with a slash; the longest match wins.
     std::string path_prefix;
     repeat_rule repeat = repeat_rule::at_most_once;
-    // Whether large bodies are expected.
+    // Whether large request or response bodies are expected.
     bool large_body = false;
     std::vector<weighted_service> services;
     // Maximum time that a caller waits for the response.
@@ -102,6 +102,9 @@
     // False if no customer is configured: requests then need no API key.
     bool keys_required = false;
     caller_limits limits;
+    // One message for each value in the record that the decoder does not know,
+    // which says how the value is treated. The rest of the record applies.
+    std::vector<std::string> unknown_values;
 };
 
 } // namespace parsleyplank::steering
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -38,7 +38,11 @@
                     .Register(registry)),
       lookups(make_counters(registry, "parsleyplank_lookups_total",
                             "Look-ups answered.")
-                  .Add({}))
+                  .Add({})),
+      unknown_values(
+          make_counters(registry, "parsleyplank_unknown_values_total",
+                        "Values of the platform's records that are not known.")
+              .Add({}))
 {
     // Every reason is shown from the start, so that a rate over it is defined.
     std::ranges::for_each(
@@ -68,6 +72,11 @@
     lookups.Increment();
 }
 
+void metrics::count_unknown_value()
+{
+    unknown_values.Increment();
+}
+
 void metrics::count_request(const route_id& route, run_outcome outcome,
                             std::chrono::microseconds duration)
 {
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -29,6 +29,9 @@
     void count_retry(retry_reason reason);
     void count_lookup();
 
+    // Counts a value of the platform's records that this version does not know.
+    void count_unknown_value();
+
     // Counts a finished request of a route by outcome, with its duration.
     void count_request(const route_id& route, run_outcome outcome,
                        std::chrono::microseconds duration);
@@ -52,6 +55,7 @@
     prometheus::Family<prometheus::Counter>& customer_refusals;
     prometheus::Family<prometheus::Histogram>& durations;
     prometheus::Counter& lookups;
+    prometheus::Counter& unknown_values;
 };
 
 } // namespace parsleyplank::telemetry
--- a/test/correctness/platform_decode.cpp
+++ b/test/correctness/platform_decode.cpp
@@ -8,6 +8,8 @@
 #include <platform/adapter.hpp>
 #include <platform/decode.hpp>
 
+#include <limits>
+
 using namespace parsleyplank;
 
 namespace
@@ -33,16 +35,24 @@
    "allowedRegions"],
   "rows":[["t1",["k1","k2"],1,81,82,[]]]}})";
 
+// Returns the text with the first occurrence of a part replaced. The part must
+// occur.
+std::string replaced(std::string text, const std::string& from,
+                     const std::string& to)
+{
+    const auto at = text.find(from);
+    CPPUNIT_ASSERT(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
 std::string server(const std::string& change_from = "",
                    const std::string& change_to = "")
 {
-    std::string text =
+    return replaced(
         R"({"address":"10.1.0.9:8080","born":1700000000123,)"
         R"("info":{"service":"s1","version":"v1","zone":"oslo-a","capacity":4},)"
-        R"("status":{"state":"ready","sequence":4,"warmupLeft":"1500ms"}})";
-    if (const auto at = text.find(change_from); !change_from.empty())
-        text.replace(at, change_from.size(), change_to);
-    return text;
+        R"("status":{"state":"ready","sequence":4,"warmupLeft":"1500ms"}})",
+        change_from, change_to);
 }
 
 class platform_decode : public CppUnit::TestFixture
@@ -50,6 +60,12 @@
     CPPUNIT_TEST_SUITE(platform_decode);
     CPPUNIT_TEST(a_configuration_decodes);
     CPPUNIT_TEST(a_malformed_configuration_is_rejected);
+    CPPUNIT_TEST(a_download_is_idempotent_with_a_large_body);
+    CPPUNIT_TEST(an_unknown_kind_of_route_runs_at_most_once);
+    CPPUNIT_TEST(a_route_of_unknown_kind_without_a_service_is_left_out);
+    CPPUNIT_TEST(unknown_limits_leave_the_defaults);
+    CPPUNIT_TEST(unknown_fields_are_ignored);
+    CPPUNIT_TEST(numbers_beyond_their_type_become_the_largest);
     CPPUNIT_TEST(a_server_decodes);
     CPPUNIT_TEST(a_malformed_server_record_is_rejected);
     CPPUNIT_TEST(a_directory_query_decodes);
@@ -98,6 +114,78 @@
                                  codec_error);
     }
 
+    void a_download_is_idempotent_with_a_large_body()
+    {
+        const auto config = platform::decode_configuration(
+            replaced(configuration, "\"upload\"", "\"download\""));
+        CPPUNIT_ASSERT(config.routes.back().repeat ==
+                       steering::repeat_rule::idempotent);
+        CPPUNIT_ASSERT(config.routes.back().large_body);
+        CPPUNIT_ASSERT(config.unknown_values.empty());
+    }
+
+    // The other routes must keep working: a kind that this version does not
+    // know once cost a deployment all of its service.
+    void an_unknown_kind_of_route_runs_at_most_once()
+    {
+        const auto config = platform::decode_configuration(
+            replaced(configuration, "\"upload\"", "\"mirror\""));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), config.routes.size());
+        CPPUNIT_ASSERT(config.routes.front().repeat ==
+                       steering::repeat_rule::idempotent);
+        CPPUNIT_ASSERT(config.routes.back().repeat ==
+                       steering::repeat_rule::at_most_once);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), config.unknown_values.size());
+        CPPUNIT_ASSERT(config.unknown_values.front().find("'mirror'") !=
+                       std::string::npos);
+    }
+
+    void a_route_of_unknown_kind_without_a_service_is_left_out()
+    {
+        const auto config = platform::decode_configuration(
+            R"({"version":"1","services":{"columns":["name","healthPath"],)"
+            R"("rows":[["s1","/healthz"]]},"routes":{"columns":)"
+            R"(["name","host","pathPrefix","routeType","service"],"rows":[)"
+            R"(["r1","a.example","/a/","safe","s1"],)"
+            R"(["r2","a.example","/b/","mirror",null],)"
+            R"(["r3","a.example","/c/","mirror","s9"]]}})");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), config.routes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"),
+                             config.routes.front().id.value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), config.unknown_values.size());
+    }
+
+    void unknown_limits_leave_the_defaults()
+    {
+        const auto config =
+            platform::decode_configuration(R"({"version":"1","limits":[1]})");
+        CPPUNIT_ASSERT_EQUAL(steering::caller_limits().max_body_bytes,
+                             config.limits.max_body_bytes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), config.unknown_values.size());
+    }
+
+    void unknown_fields_are_ignored()
+    {
+        const auto config = platform::decode_configuration(
+            replaced(configuration, "\"limits\":{",
+                     "\"novel\":[],\"limits\":{\"maxNovel\":true,"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1'000), config.limits.max_body_bytes);
+        CPPUNIT_ASSERT(!decode(server("\"state\":", "\"novel\":{},\"state\":"))
+                            .draining);
+    }
+
+    void numbers_beyond_their_type_become_the_largest()
+    {
+        const auto config = platform::decode_configuration(
+            R"({"version":"1","limits":{"maxBodyBytes":1e300},)"
+            R"("services":{"columns":["name","healthPath","maxConnections"],)"
+            R"("rows":[["s1","/healthz",1e12]]}})");
+        CPPUNIT_ASSERT_EQUAL(std::numeric_limits<std::size_t>::max(),
+                             config.limits.max_body_bytes);
+        CPPUNIT_ASSERT_EQUAL(std::numeric_limits<std::uint32_t>::max(),
+                             config.services.front().max_connections);
+    }
+
     void a_server_decodes()
     {
         const auto it = decode(server());
@@ -115,6 +203,7 @@
         const std::vector<std::pair<std::string, std::string>> changes{
             {"\"capacity\":4", "\"capacity\":\"4\""},
             {"\"capacity\":4", "\"capacity\":0"},
+            {"\"capacity\":4", "\"capacity\":4294967296"},
             {"ready", "sleeping"},
             {"oslo-a", "elsewhere"},
             {"1500ms", "soon"},
