End the lease of a leaving instance instead of removing its key

The store may carry out a call without an answer seconds later, when the next process of the same id has registered. Its key was then gone for good, because its lease still renewed.

Change: the process ends its own lease, which removes only what is attached to it. An instance that sees its own key removed registers again.

Also: a status of a write that the protocol does not name no longer counts as applied, and a value that is no base64 hides no other entry of a listing.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -404,7 +404,11 @@
     else if (const auto service = after_prefix(key, layout.rollout_prefix))
         remove_order(rollouts, service_id(*service));
     else if (const auto id = after_prefix(key, member_prefix))
+    {
         remove_member(fleet, instance_id(*id));
+        if (instance_id(*id) == self.id)
+            restore_registration();
+    }
 }
 
 void control_plane::apply_configuration(const store::entry& it)
@@ -468,13 +472,27 @@
 
 void control_plane::deregister()
 {
+    // Ends the lease rather than removing the key: if the call takes effect
+    // late, it must not remove the registration of the next process.
     worker->submit(
-        [key = std::string(member_prefix) +
-               self.id.value](store::lease_store& store) {
-            store.commit({{}, {}, {key}});
+        [held = lease](store::lease_store& store)
+        {
+            if (*held != store::lease_id(0))
+                store.end_lease(std::exchange(*held, store::lease_id(0)));
         });
 }
 
+void control_plane::restore_registration()
+{
+    if (drain_started_at)
+        return;
+    LOG4CPLUS_WARN(log, "event=registration_lost");
+    worker->submit([held = lease](store::lease_store& /*store*/)
+                   { *held = store::lease_id(0); });
+    last_renewal = {};
+    renew_registration();
+}
+
 void control_plane::receive_digests()
 {
     peer_socket.async_receive_from(
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -114,6 +114,8 @@
     // Registration of this instance.
     void renew_registration();
     void deregister();
+    // Registers this instance again after its key was removed.
+    void restore_registration();
 
     // Exchange of digests with peers.
     void receive_digests();
--- a/src/store/http_call.cpp
+++ b/src/store/http_call.cpp
@@ -99,6 +99,8 @@
     }
 
     void set_common_options();
+    // Also restores the method that a removal has replaced.
+    void set_connection_use(connection_use use);
     http_response perform(const std::string& path, milliseconds timeout);
 
     http_settings settings;
@@ -139,6 +141,14 @@
     set(CURLOPT_HTTPHEADER, headers);
 }
 
+void http_call::state::set_connection_use(connection_use use)
+{
+    const long fresh = use == connection_use::fresh ? 1 : 0;
+    set(CURLOPT_FRESH_CONNECT, fresh);
+    set(CURLOPT_FORBID_REUSE, fresh);
+    set(CURLOPT_CUSTOMREQUEST, static_cast<const char*>(nullptr));
+}
+
 http_response http_call::state::perform(const std::string& path,
                                         milliseconds timeout)
 {
@@ -175,9 +185,7 @@
 http_response http_call::post(const std::string& path, const std::string& body,
                               connection_use use, milliseconds extra_wait)
 {
-    const long fresh = use == connection_use::fresh ? 1 : 0;
-    self->set(CURLOPT_FRESH_CONNECT, fresh);
-    self->set(CURLOPT_FORBID_REUSE, fresh);
+    self->set_connection_use(use);
     self->set(CURLOPT_POST, 1L);
     self->set(CURLOPT_POSTFIELDSIZE_LARGE,
               static_cast<curl_off_t>(body.size()));
@@ -187,12 +195,19 @@
 
 http_response http_call::get(const std::string& path, milliseconds extra_wait)
 {
-    self->set(CURLOPT_FRESH_CONNECT, 0L);
-    self->set(CURLOPT_FORBID_REUSE, 0L);
+    self->set_connection_use(connection_use::reused);
     self->set(CURLOPT_HTTPGET, 1L);
     return self->perform(path, self->settings.call_timeout + extra_wait);
 }
 
+http_response http_call::remove(const std::string& path)
+{
+    self->set_connection_use(connection_use::fresh);
+    self->set(CURLOPT_HTTPGET, 1L);
+    self->set(CURLOPT_CUSTOMREQUEST, "DELETE");
+    return self->perform(path, self->settings.call_timeout);
+}
+
 const std::string& http_call::authority() const
 {
     return self->authority;
--- a/src/store/http_call.hpp
+++ b/src/store/http_call.hpp
@@ -79,6 +79,10 @@
     http_response get(const std::string& path,
                       milliseconds extra_wait = milliseconds(0));
 
+    // Removes a resource by DELETE, over a fresh connection. Throws
+    // transfer_error.
+    http_response remove(const std::string& path);
+
     // Returns "ADDRESS:PORT", for messages.
     const std::string& authority() const;
 
--- a/src/store/lease_store.hpp
+++ b/src/store/lease_store.hpp
@@ -61,6 +61,11 @@
     // Renews a lease for its whole time. Returns false if it has ended. Throws
     // store_unavailable.
     virtual bool renew_lease(lease_id lease) = 0;
+
+    // Ends a lease, which removes the keys that are attached to it. Does
+    // nothing if it has ended. Throws store_unavailable, or
+    // store_outcome_unknown if it may still end later.
+    virtual void end_lease(lease_id lease) = 0;
 };
 
 } // namespace parsleyplank::store
--- a/test/correctness/platform_store.cpp
+++ b/test/correctness/platform_store.cpp
@@ -23,6 +23,9 @@
     CPPUNIT_TEST(a_write_without_a_response_may_have_been_applied);
     CPPUNIT_TEST(a_rejected_write_is_not_applied);
     CPPUNIT_TEST(a_conflict_and_an_ended_lease_write_nothing);
+    CPPUNIT_TEST(an_unknown_status_of_a_write_leaves_its_outcome_unknown);
+    CPPUNIT_TEST(an_unreadable_value_hides_no_other_entry);
+    CPPUNIT_TEST(a_lease_is_ended_by_its_id);
     CPPUNIT_TEST_SUITE_END();
 
     std::mutex guard;
@@ -149,6 +152,56 @@
                        store::commit_outcome::lease_ended);
         CPPUNIT_ASSERT(!store.renew_lease(store::lease_id(5)));
     }
+
+    // A status that the protocol does not name must not count as applied.
+    void an_unknown_status_of_a_write_leaves_its_outcome_unknown()
+    {
+        const auto server = start(
+            [](std::size_t) {
+                return scripted_response{http_text("202 Accepted", "{}"),
+                                         false};
+            });
+        auto store = open(*server);
+        CPPUNIT_ASSERT_THROW(
+            store.commit({{}, {{"a", "1", store::lease_id(0)}}, {}}),
+            store_outcome_unknown);
+    }
+
+    // A leaving process ends its lease: removing its key by name could remove
+    // the registration of its successor, if the call takes effect late.
+    void a_lease_is_ended_by_its_id()
+    {
+        const auto server = start(
+            [](std::size_t n)
+            {
+                return scripted_response{
+                    http_text(n == 2 ? "404 Gone" : "200 OK", "{}"), false};
+            });
+        auto store = open(*server);
+        store.end_lease(store::lease_id(5));
+        store.end_lease(store::lease_id(5));
+        CPPUNIT_ASSERT(requests.front().starts_with("DELETE /kv-lease-end/5 "));
+        CPPUNIT_ASSERT(store.renew_lease(store::lease_id(6)));
+        CPPUNIT_ASSERT(requests.back().starts_with("POST /kv-keep/6 "));
+    }
+
+    void an_unreadable_value_hides_no_other_entry()
+    {
+        const auto server = start(
+            [](std::size_t)
+            {
+                return scripted_response{
+                    http_text(
+                        "200 OK",
+                        R"({"items":[{"key":"a","value":"!","revision":3,"created":3,"lease":0},{"key":"b","value":"b25l","revision":4,"created":4,"lease":0}],"hasMore":false,"storeRevision":7})"),
+                    false};
+            });
+        auto store = open(*server);
+        const auto all = store.list("x/");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), all.entries.size());
+        CPPUNIT_ASSERT_EQUAL(std::string(), all.entries.front().value);
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), all.entries.back().value);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_store_calls);
