Serve what has arrived when an instance stops

Cause, found while looking for what other operators reported (a planned stop under load cut requests that had just been accepted): when a draining instance stopped accepting, it reset the connections that waited in the backlog and closed idle ones whose next request had arrived unread. It then exited when no request awaited a response, though responses could still be on their way to callers that read slowly.

Change: connections in the backlog are accepted before the listener closes, a connection with received bytes is not idle, and a request counts as open until its response is written.

Tests: proxy_front_stop, without network peers beyond loopback; the first four of its cases failed before.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -820,11 +820,11 @@
         traffic.stop_accepting();
         return;
     }
-    if ((!accepting && report.open_exchanges == 0) ||
+    if ((!accepting && report.open_requests == 0) ||
         age >= fraction_of(grace, options.exit_fraction))
     {
         LOG4CPLUS_INFO(log,
-                       "event=drained open_requests=" << report.open_exchanges
+                       "event=drained open_requests=" << report.open_requests
                                                       << " ms=" << age.count());
         io.stop();
     }
--- a/src/edge/snapshot.hpp
+++ b/src/edge/snapshot.hpp
@@ -63,7 +63,8 @@
 {
     std::unordered_map<customer_id, double> demands;
     tally_table tallies;
-    std::size_t open_exchanges = 0;
+    // Requests that are being received or whose responses are not yet written.
+    std::size_t open_requests = 0;
 };
 
 } // namespace parsleyplank::edge
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -107,8 +107,8 @@
                       [this, take = std::move(take)]
                       {
                           auto report = make_report(state, now());
-                          report.open_exchanges =
-                              listeners.front()->open_exchanges();
+                          report.open_requests =
+                              listeners.front()->open_requests();
                           take(std::move(report));
                       });
 }
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -117,11 +117,20 @@
 void front_connection::close_if_idle()
 {
     if (open && pending.empty() && write_start == time_point{} &&
-        current_activity != activity::reading_body)
+        !is_receiving())
         close();
 }
 
-void front_connection::accept_request(request_message request)
+bool front_connection::is_receiving() const
+{
+    if (!open || current_activity == activity::closing)
+        return false;
+    error_code ec;
+    return current_activity != activity::idle || socket.available(ec) > 0;
+}
+
+void front_connection::accept_request(request_message request,
+                                      body_reservation_ptr memory)
 {
     const auto ex = std::make_shared<exchange>();
     ex->received = now();
@@ -152,6 +161,7 @@
 {
     const auto ex = std::make_shared<exchange>();
     ex->response = make_response(status, text);
+    ++shared->open_exchanges;
     pending.push_back(ex);
     last_request_read = true;
     writer_signal.cancel();
@@ -270,6 +280,7 @@
         if (!open)
             co_return;
         pending.pop_front();
+        --shared->open_exchanges;
         reader_signal.cancel();
         activity_start = now();
         if (ec)
--- a/src/proxy/front_connection.hpp
+++ b/src/proxy/front_connection.hpp
@@ -44,6 +44,8 @@
     std::size_t open_exchanges = 0;
 };
 
+using request_parser = http::request_parser<http::string_body>;
+
 class front_connection : public std::enable_shared_from_this<front_connection>
 {
 public:
@@ -57,10 +59,14 @@
     // exceeded. Returns whether the connection is still open.
     bool close_if_expired(time_point now);
 
-    // Closes the connection immediately unless a request is pending, its body
-    // is being read, or a response is being written.
+    // Closes the connection immediately if it is idle: no part of a request has
+    // been received, and no response is pending or being written.
     void close_if_idle();
 
+    // Returns whether a part of a request has been received that is not yet
+    // passed to the handler.
+    bool is_receiving() const;
+
 private:
     // What the reading side of the connection does; selects the time limit.
     enum class activity
--- a/src/proxy/front_listener.cpp
+++ b/src/proxy/front_listener.cpp
@@ -63,16 +63,48 @@
 void front_listener::stop()
 {
     shared->draining = true;
-    error_code ec;
-    acceptor.close(ec);
     for (const auto& it : connections)
         if (const auto connection = it.lock())
             connection->close_if_idle();
+    accept_waiting();
+    error_code ec;
+    acceptor.close(ec);
 }
 
-std::size_t front_listener::open_exchanges() const
+std::size_t front_listener::open_requests() const
 {
-    return shared->open_exchanges;
+    const auto receiving = std::ranges::count_if(
+        connections,
+        [](const std::weak_ptr<front_connection>& it)
+        {
+            const auto connection = it.lock();
+            return connection && connection->is_receiving();
+        });
+    return shared->open_exchanges + static_cast<std::size_t>(receiving);
+}
+
+void front_listener::accept_waiting()
+{
+    error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec)
+    {
+        tcp::socket socket(acceptor.get_executor());
+        acceptor.accept(socket, ec);
+        if (!ec)
+            start_connection(std::move(socket));
+    }
+}
+
+void front_listener::start_connection(tcp::socket socket)
+{
+    error_code ec;
+    // If the option can't be set, responses are merely slower.
+    socket.set_option(tcp::no_delay(true), ec);
+    const auto connection =
+        std::make_shared<front_connection>(std::move(socket), shared);
+    connections.push_back(connection);
+    connection->start();
 }
 
 asio::awaitable<void> front_listener::accept_connections()
@@ -92,11 +124,7 @@
                 asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
-        socket.set_option(tcp::no_delay(true), ec);
-        const auto connection =
-            std::make_shared<front_connection>(std::move(socket), shared);
-        connections.push_back(connection);
-        connection->start();
+        start_connection(std::move(socket));
     }
 }
 
--- a/src/proxy/front_listener.hpp
+++ b/src/proxy/front_listener.hpp
@@ -29,14 +29,19 @@
     // pending. New connections are still accepted.
     void drain();
 
-    // Stops accepting connections, closes idle ones and drains the others.
+    // Closes idle connections, accepts those that are waiting, then accepts no
+    // more. All open connections drain.
     void stop();
 
-    // Returns the number of requests that await their responses.
-    std::size_t open_exchanges() const;
+    // Returns the number of requests that are being received or whose responses
+    // have not been written.
+    std::size_t open_requests() const;
 
 private:
     asio::awaitable<void> accept_connections();
+    void start_connection(tcp::socket socket);
+    // Accepts the connections that are established already.
+    void accept_waiting();
     // Closes connections that exceed a time limit, forgets closed ones and
     // schedules the next sweep.
     void sweep();
