Use no state after a pause until the store has been read again

Ages were measured by the monotonic clock, which does not count a suspension, so strict_keys did not notice either.

Change: the control thread shows every 0.5 s that it runs, by the boot clock. After a gap longer than the contact timeout, requests get 503 (not run), the readiness check fails and tokens are not granted, until a read of the store that began after the pause has ended, or for 2 s without one. The traffic thread checks the same, in case it wakes first, and once more before each send.

Tests: edge_pause, edge_token_exchange, edge_data_path.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -62,16 +62,12 @@
 
 control_options control_options_for(const fleet_bounds& bounds)
 {
-    // A peer is considered unresponsive after several missed digests, well
-    // before the bound on contact.
-    constexpr double contact_fraction = 0.55;
     // Time reserved within the drain bound to carry out a delayed removal.
     constexpr milliseconds reaction_time{400};
     // Two consecutive renewals may fail before the lease expires.
     constexpr int renewals_per_lease = 3;
     control_options options;
-    options.fleet.contact_timeout =
-        fraction_of(bounds.contact, contact_fraction);
+    options.fleet.contact_timeout = contact_timeout(bounds);
     options.lease_ttl = bounds.contact;
     options.lease_renewal_interval = bounds.contact / renewals_per_lease;
     options.removal_hold =
@@ -95,6 +91,7 @@
       self(describe_self(config)), lease(std::make_shared<store::lease_id>())
 {
     fleet.self = config.id;
+    confirmation.pauses.max_gap = contact_timeout(config.bounds);
     relay_listener = std::make_unique<proxy::front_listener>(
         io, steering::server_endpoint{config.address, config.peer_port},
         proxy::front_options{},
@@ -135,6 +132,7 @@
     wait_for_signals();
     receive_digests();
     renew_registration();
+    heartbeat();
     tick();
     io.run();
     LOG4CPLUS_INFO(log, "event=stop instance=" << config.id.value);
@@ -222,18 +220,73 @@
                                                       << " newest="
                                                       << newest_revision.value);
     worker->submit(
-        [this](store::lease_store& store)
+        [this, pause = confirmation.pause_number](store::lease_store& store)
         {
-            auto all = store.list(platform.layout.watched_prefix);
-            proxy::asio::post(io,
-                              [this, all = std::move(all)]
-                              {
-                                  note_store_response();
-                                  apply_listing(all);
-                              });
+            const auto confirm = [this, pause]
+            {
+                proxy::asio::post(io, [this, pause] { confirm_state(pause); });
+            };
+            try
+            {
+                auto all = store.list(platform.layout.watched_prefix);
+                proxy::asio::post(io,
+                                  [this, all = std::move(all)]
+                                  {
+                                      note_store_response();
+                                      apply_listing(all);
+                                  });
+                confirm();
+            }
+            catch (const error&)
+            {
+                confirm();
+                throw;
+            }
+        });
+}
+
+void control_plane::heartbeat()
+{
+    note_control_run();
+    heartbeat_timer.expires_after(options.heartbeat_interval);
+    heartbeat_timer.async_wait(
+        [this](const proxy::error_code& ec)
+        {
+            if (!ec)
+                heartbeat();
         });
 }
 
+void control_plane::note_control_run()
+{
+    const auto at = boot_now();
+    const bool was_confirmed = is_confirmed(confirmation);
+    const auto pause = observe_control(confirmation, at);
+    if (pause)
+    {
+        LOG4CPLUS_WARN(log, "event=paused ms=" << pause->count());
+        // What was heard before the pause is no evidence that it holds.
+        last_store_response = {};
+        relist();
+    }
+    // The snapshot goes first: the traffic thread uses its state as soon as it
+    // sees that the control thread runs.
+    if (was_confirmed != is_confirmed(confirmation))
+        publish();
+    traffic.note_control_run(at);
+}
+
+void control_plane::confirm_state(std::uint64_t pause_number)
+{
+    if (is_confirmed(confirmation))
+        return;
+    confirm(confirmation, pause_number);
+    if (!is_confirmed(confirmation))
+        return;
+    LOG4CPLUS_INFO(log, "event=state_confirmed");
+    publish();
+}
+
 void control_plane::apply_listing(const store::list_result& all)
 {
     if (all.store_revision < applied_revision)
@@ -777,6 +830,7 @@
 {
     auto next = std::make_shared<steering_snapshot>();
     next->routing = routing;
+    next->confirmed = is_confirmed(confirmation);
     next->last_store_contact = last_store_response;
     next->draining = drain_started_at.has_value();
     const auto add = [&](const member_record& it)
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -8,6 +8,7 @@
 #include <parsleyplank/edge/change_relay.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/edge/rollout_control.hpp>
+#include <parsleyplank/edge/state_confirmation.hpp>
 #include <parsleyplank/edge/store_feed.hpp>
 #include <parsleyplank/edge/store_worker.hpp>
 #include <parsleyplank/edge/traffic_plane.hpp>
@@ -31,6 +32,8 @@
     feed_options feed;
     // Interval between digests in a small fleet.
     milliseconds digest_interval{500};
+    // Interval at which the control thread shows that it runs.
+    milliseconds heartbeat_interval{500};
     // Largest number of digests that an instance receives per second. A fleet
     // that would exceed it sends digests less often.
     double max_digests_per_s = 60;
@@ -111,6 +114,12 @@
     void note_revision(revision seen);
     void relist();
 
+    // Detects pauses of the process, after which nothing is used until the
+    // store has been read again.
+    void heartbeat();
+    void note_control_run();
+    void confirm_state(std::uint64_t pause_number);
+
     // Registration of this instance.
     void renew_registration();
     void deregister();
@@ -150,6 +159,7 @@
     proxy::asio::io_context io;
     proxy::asio::signal_set signals;
     proxy::asio::steady_timer tick_timer;
+    proxy::asio::steady_timer heartbeat_timer;
     proxy::asio::steady_timer removal_timer;
     proxy::asio::ip::udp::socket peer_socket;
     proxy::asio::ip::udp::endpoint sender;
@@ -174,6 +184,7 @@
     change_relay relay;
     std::unique_ptr<proxy::front_listener> relay_listener;
 
+    state_confirmation confirmation;
     time_point last_store_response{};
     // Time of the last failure of a store call, or of the recovery from it.
     time_point last_outage{};
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -78,9 +78,18 @@
 
 } // namespace
 
+bool state_usable(const flow_context& context)
+{
+    const auto& state = context.state;
+    const bool control_paused =
+        context.control_run && boot_now() - *context.control_run >
+                                   contact_timeout(state.config.bounds);
+    return state.snapshot->routing && state.snapshot->confirmed &&
+           !control_paused;
+}
+
 request_flow::request_flow(flow_context& shared, proxy::exchange_ptr served)
     : context(shared), ex(std::move(served)),
-      routing(shared.state.snapshot->routing),
       affinity_key(
           header_value(ex->request, shared.platform.headers.affinity_key)),
       id(header_value(ex->request, shared.platform.headers.request_id))
@@ -113,11 +122,12 @@
 
 bool request_flow::admit()
 {
-    if (!routing)
+    if (!state_usable(context))
     {
         refuse(refusal_reason::stale_state, default_retry_after);
         return false;
     }
+    routing = context.state.snapshot->routing;
     const auto host = ex->request[proxy::http::field::host];
     const auto target = ex->request.target();
     route = steering::find_route(*routing, {host.data(), host.size()},
@@ -214,6 +224,12 @@
 
 std::optional<server_placement> request_flow::place()
 {
+    // The process may have been paused since the request was admitted.
+    if (!state_usable(context))
+    {
+        give_up(refusal_reason::stale_state);
+        return std::nullopt;
+    }
     if (remaining() <= milliseconds(0))
     {
         give_up(refusal_reason::deadline);
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -5,6 +5,7 @@
 // the call, retries where they are safe, and the response. Runs on the traffic
 // thread.
 
+#include <parsleyplank/core/pause_detector.hpp>
 #include <parsleyplank/core/reason.hpp>
 #include <parsleyplank/edge/token_exchange.hpp>
 #include <parsleyplank/edge/traffic_state.hpp>
@@ -25,8 +26,15 @@
     token_exchange& token_peers;
     telemetry::metrics& counters;
     log4cplus::Logger log;
+    // Time at which the control thread last ran; empty if it has not started.
+    std::optional<boot_time> control_run;
 };
 
+// Returns whether the state may be used on which requests are decided: not
+// before the first configuration, nor after a pause until the control thread
+// has confirmed it.
+bool state_usable(const flow_context& context);
+
 class request_flow : public std::enable_shared_from_this<request_flow>
 {
 public:
--- a/src/edge/settings.cpp
+++ b/src/edge/settings.cpp
@@ -77,6 +77,13 @@
     return s;
 }
 
+milliseconds contact_timeout(const fleet_bounds& bounds)
+{
+    constexpr double contact_fraction = 0.55;
+    return milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(bounds.contact.count()) * contact_fraction));
+}
+
 settings read_settings(const std::filesystem::path& file)
 {
     return parse_settings(settings_file::read_text(file), file.string());
--- a/src/edge/settings.hpp
+++ b/src/edge/settings.hpp
@@ -43,6 +43,10 @@
     bool strict_keys = false;
 };
 
+// Returns the time without a sign of life after which an instance counts as
+// failed: several missed digests, well before the bound on contact.
+milliseconds contact_timeout(const fleet_bounds& bounds);
+
 struct settings
 {
     // [instance]
--- a/src/edge/snapshot.hpp
+++ b/src/edge/snapshot.hpp
@@ -47,6 +47,9 @@
     // divide among all instances. One instance of the region holds the tokens
     // of each such customer.
     std::unordered_map<customer_id, steering::customer_share> region_shares;
+    // False after a pause of the process until the store has been read again;
+    // nothing in the snapshot may be used then.
+    bool confirmed = true;
     // Time of the last contact with the store.
     time_point last_store_contact{};
     bool draining = false;
--- a/src/edge/token_exchange.cpp
+++ b/src/edge/token_exchange.cpp
@@ -93,6 +93,17 @@
                               });
 }
 
+void token_exchange::answer_request(const token_message& message)
+{
+    const auto answer = holder.take(message.customer);
+    if (answer == token_answer::unknown)
+        return;
+    send(sender,
+         {answer == token_answer::granted ? token_message_type::granted
+                                          : token_message_type::refused,
+          message.correlation_id, message.customer});
+}
+
 void token_exchange::handle_datagram(std::size_t n)
 {
     try
@@ -102,10 +113,7 @@
         switch (message.type)
         {
         case token_message_type::request_token:
-            send(sender,
-                 {holder.take(message.customer) ? token_message_type::granted
-                                                : token_message_type::refused,
-                  message.correlation_id, message.customer});
+            answer_request(message);
             return;
         case token_message_type::return_token:
             holder.return_token(message.customer);
--- a/src/edge/token_exchange.hpp
+++ b/src/edge/token_exchange.hpp
@@ -59,8 +59,9 @@
 // Callbacks that access the tokens that this instance holds.
 struct token_holder
 {
-    // Takes a token of the customer. Returns false if none is left.
-    std::function<bool(std::uint32_t customer)> take;
+    // Takes a token of the customer. Returns unknown, which is not sent, if
+    // this instance can't tell whether it still holds the tokens.
+    std::function<token_answer(std::uint32_t customer)> take;
     // Puts an unused token of the customer back.
     std::function<void(std::uint32_t customer)> return_token;
 };
@@ -96,6 +97,7 @@
 
     void receive();
     void handle_datagram(std::size_t n);
+    void answer_request(const token_message& message);
     void send(const proxy::asio::ip::udp::endpoint& to,
               const token_message& message);
 
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -101,6 +101,11 @@
                       });
 }
 
+void traffic_plane::note_control_run(boot_time at)
+{
+    proxy::asio::post(io, [this, at] { context.control_run = at; });
+}
+
 void traffic_plane::collect(std::function<void(traffic_report)> take)
 {
     proxy::asio::post(io,
@@ -142,6 +147,16 @@
         });
 }
 
+// Another instance may hold the tokens since a pause of this one, so that this
+// one must not grant them before its state is confirmed.
+token_answer traffic_plane::answer_token_request(std::uint32_t customer)
+{
+    if (!state_usable(context))
+        return token_answer::unknown;
+    return take_region_token(state, customer, now()) ? token_answer::granted
+                                                     : token_answer::refused;
+}
+
 void traffic_plane::serve_directory(const proxy::exchange_ptr& ex)
 {
     const auto target = ex->request.target();
@@ -169,7 +184,7 @@
     const auto target = ex->request.target();
     const bool known =
         std::string_view(target.data(), target.size()) == platform.ready_path;
-    const bool ready = state.snapshot->routing && !state.snapshot->draining;
+    const bool ready = state_usable(context) && !state.snapshot->draining;
     const auto status = !known  ? status_not_found
                         : ready ? status_ok
                                 : status_unavailable;
--- a/src/edge/traffic_plane.hpp
+++ b/src/edge/traffic_plane.hpp
@@ -30,6 +30,11 @@
     // Replaces the snapshot. Thread-safe.
     void publish(snapshot_ptr next);
 
+    // Records that the control thread runs. Requests are refused if it has not
+    // run for contact_timeout. Takes effect after the snapshots that were
+    // published before. Thread-safe.
+    void note_control_run(boot_time now);
+
     // Calls back on the traffic thread with the counts. Thread-safe.
     void collect(std::function<void(traffic_report)> take);
 
@@ -42,6 +47,7 @@
     void serve_directory(const proxy::exchange_ptr& ex);
     void serve_readiness(const proxy::exchange_ptr& ex);
     void serve_admin(const proxy::exchange_ptr& ex);
+    token_answer answer_token_request(std::uint32_t customer);
     void sweep();
 
     const adapter& platform;
--- a/test/correctness/edge_data_path.cpp
+++ b/test/correctness/edge_data_path.cpp
@@ -17,6 +17,7 @@
 {
     CPPUNIT_TEST_SUITE(edge_data_path);
     CPPUNIT_TEST(without_a_configuration_requests_are_refused_as_not_run);
+    CPPUNIT_TEST(requests_during_the_first_configuration_are_answered);
     CPPUNIT_TEST(unknown_routes_and_keys_are_refused);
     CPPUNIT_TEST(strict_keys_are_refused_without_the_store);
     CPPUNIT_TEST(the_api_key_is_replaced_by_the_customer);
@@ -63,6 +64,36 @@
                        std::string::npos);
     }
 
+    // Failure scenario: after a loss of power, requests arrive at the moment at
+    // which the first configuration does. The process ended with a segmentation
+    // fault.
+    void requests_during_the_first_configuration_are_answered()
+    {
+        constexpr int rounds = 20;
+        constexpr int requests = 16;
+        for (int round = 0; round < rounds; ++round)
+        {
+            edge = std::make_unique<edge_fixture>();
+            edge->add_server(
+                [](const std::string& request) {
+                    return scripted_response{echo_response(request, "ok"),
+                                             false};
+                });
+            raw_connection caller(edge->config.callers.port);
+            std::string all;
+            for (int i = 0; i < requests; ++i)
+                all += edge_fixture::request("GET", "/read/1",
+                                             std::to_string(i));
+            caller.send(all);
+            edge->publish();
+            for (int i = 0; i < requests; ++i)
+            {
+                const auto status = caller.receive().status;
+                CPPUNIT_ASSERT(status == 200 || status == 503);
+            }
+        }
+    }
+
     void unknown_routes_and_keys_are_refused()
     {
         std::atomic<int> seen{0};
--- a/test/correctness/edge_token_exchange.cpp
+++ b/test/correctness/edge_token_exchange.cpp
@@ -27,17 +27,25 @@
     CPPUNIT_TEST(each_token_is_granted_once);
     CPPUNIT_TEST(an_unused_token_can_be_returned);
     CPPUNIT_TEST(an_unanswered_request_ends_as_unknown);
+    CPPUNIT_TEST(a_holder_that_may_be_replaced_grants_nothing);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint32_t customer = 7;
     proxy::asio::io_context io;
     int tokens_left = 2;
+    // Whether the holder knows that it still holds the tokens.
+    bool holding_known = true;
 
     token_holder holder()
     {
-        return {[this](std::uint32_t of) {
-                    return of == customer && tokens_left > 0 &&
-                           tokens_left-- > 0;
+        return {[this](std::uint32_t of)
+                {
+                    if (!holding_known)
+                        return token_answer::unknown;
+                    const bool granted = of == customer && tokens_left > 0 &&
+                                         tokens_left-- > 0;
+                    return granted ? token_answer::granted
+                                   : token_answer::refused;
                 },
                 [this](std::uint32_t)
                 {
@@ -71,6 +79,7 @@
     void setUp() override
     {
         tokens_left = 2;
+        holding_known = true;
     }
 
     // Failure scenario: the rate of a customer with a few requests per second
@@ -102,6 +111,19 @@
                        token_answer::granted);
     }
 
+    // Failure scenario: a holder was paused, and another instance has granted
+    // the tokens since.
+    void a_holder_that_may_be_replaced_grants_nothing()
+    {
+        holding_known = false;
+        const auto holder_address = loopback();
+        token_exchange holding(io, holder_address, holder());
+        token_exchange asking(io, loopback(), holder());
+        CPPUNIT_ASSERT(request_token(asking, holder_address, 1).front() ==
+                       token_answer::unknown);
+        CPPUNIT_ASSERT_EQUAL(2, tokens_left);
+    }
+
     void an_unanswered_request_ends_as_unknown()
     {
         token_exchange asking(io, loopback(), holder());
--- a/test/support/edge_fixture.hpp
+++ b/test/support/edge_fixture.hpp
@@ -2,7 +2,7 @@
 #define PARSLEYPLANK_TEST_SUPPORT_EDGE_FIXTURE_HPP
 
 // A traffic plane on loopback whose backend servers are raw servers, with one
-// idempotent and one at-most-once route.
+// idempotent and two at-most-once routes, one of which has servers of its own.
 
 #include <parsleyplank/edge/traffic_plane.hpp>
 
@@ -51,10 +51,12 @@
 class edge_fixture
 {
 public:
-    explicit edge_fixture(bool strict_keys = false)
+    explicit edge_fixture(bool strict_keys = false,
+                          std::uint32_t memory_mb = 256)
         : adapter(platform::make_adapter())
     {
         config.bounds.strict_keys = strict_keys;
+        config.memory_mb = memory_mb;
         config.id = instance_id("edge-1");
         config.region = region_id("oslo");
         config.domain = failure_domain_id("oslo-a");
@@ -71,16 +73,26 @@
     raw_server& add_server(raw_server::responder respond)
     {
         servers.push_back(std::make_unique<raw_server>(std::move(respond)));
+        add_server_at("parts", servers.back()->port());
+        return *servers.back();
+    }
+
+    // Adds a server of a service that the test runs itself; call before
+    // publish().
+    void add_server_at(const std::string& service, std::uint16_t port)
+    {
         steering::backend_server it;
-        it.id = backend_server_id("server-" + std::to_string(servers.size()));
-        it.service = service_id("parts");
-        it.endpoint = {"127.0.0.1", servers.back()->port()};
+        auto& same_service = described[service_id(service)];
+        it.id = backend_server_id((service == "parts" ? "" : service + "-") +
+                                  "server-" +
+                                  std::to_string(same_service.size() + 1));
+        it.service = service_id(service);
+        it.endpoint = {"127.0.0.1", port};
         it.domain = config.domain;
         it.region = config.region;
         it.slots = 4;
-        described.push_back(
+        same_service.push_back(
             std::make_shared<const steering::backend_server>(it));
-        return *servers.back();
     }
 
     // Publishes the routes and servers with the given time of the last contact
@@ -91,8 +103,9 @@
         auto traffic = std::make_shared<steering::traffic_config>();
         traffic->version = epoch(1);
         traffic->keys_required = true;
-        traffic->services.push_back(
-            {service_id("parts"), "/healthz", 100, milliseconds(0), 0});
+        for (const auto* service : {"parts", "broken"})
+            traffic->services.push_back(
+                {service_id(service), "/healthz", 100, milliseconds(0), 0});
         traffic->customers.push_back({customer_id("shop"),
                                       {"key-1"},
                                       0,
@@ -101,14 +114,17 @@
                                       {}});
         traffic->routes.push_back(make_route("read", true));
         traffic->routes.push_back(make_route("order", false));
+        traffic->routes.push_back(make_route("broken", false));
+        traffic->routes.back().services = {{service_id("broken"), 1}};
         auto next = std::make_shared<edge::steering_snapshot>();
         next->routing = std::make_shared<const steering::routing_table>(
             steering::make_routing_table(traffic));
-        next->servers[service_id("parts")] = described;
+        next->servers = described;
         next->members.push_back({config.id, config.domain, config.region, {}});
         next->instances.push_back(
             {config.id, config.callers, config.domain, config.region});
         next->last_store_contact = last_store_contact;
+        next->confirmed = confirmed;
         next->shares[customer_id("shop")] = {token_rate(1'000), tokens(1'000)};
         plane->publish(next);
     }
@@ -131,10 +147,12 @@
     }
 
     edge::settings config;
+    // Whether the published state may be used.
+    bool confirmed = true;
     edge::adapter adapter;
     telemetry::metrics counters;
     std::vector<std::unique_ptr<raw_server>> servers;
-    std::vector<steering::server_ptr> described;
+    std::unordered_map<service_id, std::vector<steering::server_ptr>> described;
     std::unique_ptr<edge::traffic_plane> plane;
 
 private:
