Bound the memory of all bodies by one budget

Cause: only request bodies with a length counted against the quarter of the memory; each response could take 64 MB, chunked requests any amount, and a chunk extension was read without bound. Three servers that never stop sending ended an instance of 160 MB with all that it was doing. A 103 without end was passed to the caller as the final response, because the HTTP library does not know that status.

Change: proxy/body_budget holds the bodies of requests and responses. At the limit the largest response that is still being received gives way: the connection is closed, the caller of an order gets 502 (it may have run), a read goes to another server, and the failure counts against the server. One response may take half of the budget, requests half in all. What is read ahead of a parser is bounded. The body of a request is no longer copied for each send, and connections in the pool keep no large buffers; reads of long bodies take 32 KB, not 512 bytes.

A 408, 429 or 503 of a server without the mark of a request that has not run reaches the caller of an order as 502: callers take these statuses as a promise that the server has not made.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -38,6 +38,15 @@
 constexpr unsigned status_timeout = 504;
 constexpr unsigned first_server_error = 500;
 
+// Returns whether callers take the status as a promise that their request has
+// not run and will not run.
+bool promises_not_run(unsigned status)
+{
+    constexpr unsigned request_timeout = 408;
+    return status == request_timeout || status == status_misdirected ||
+           status == status_too_many || status == status_unavailable;
+}
+
 time_point now()
 {
     return std::chrono::steady_clock::now();
@@ -247,11 +256,12 @@
     return decision.placed;
 }
 
-proxy::request_message
+proxy::request_view
 request_flow::make_request(const server_placement& placed) const
 {
     const auto& names = context.platform.headers;
-    proxy::request_message request = ex->request;
+    proxy::request_view request(ex->request.base());
+    request.body() = {ex->request.body().data(), ex->request.body().size()};
     proxy::remove_connection_headers(request);
     request.erase(names.api_key);
     request.erase(names.customer);
@@ -314,11 +324,12 @@
     auto request = make_request(placed);
     state.loads[server->id].in_flight[number] = {now(), placed.rank.expected};
     call = std::make_shared<proxy::upstream_call>(context.pool, server);
-    // A named variable, because GCC 12 destroys temporaries of a co_await
-    // twice.
+    // Named variables, because GCC 12 destroys temporaries of a co_await twice.
     proxy::correlation echo{context.platform.headers.request_id, id};
-    auto result = co_await call->run(std::move(request), idempotent(),
-                                     std::move(echo), answer_by);
+    std::shared_ptr<const void> body_owner = ex;
+    auto result =
+        co_await call->run(std::move(request), std::move(body_owner),
+                           idempotent(), std::move(echo), answer_by);
     call.reset();
     auto& load = state.loads[server->id];
     load.in_flight.erase(number);
@@ -467,8 +478,17 @@
         may_retry(retry_reason::incomplete_response, true))
     {
         failure_response = std::move(result.response);
+        ex->response_memory = std::move(result.memory);
         return next_step::try_again;
     }
+    if (!idempotent() && promises_not_run(status))
+    {
+        last_detail = "status " + std::to_string(status) +
+                      " without the mark of a request that has not run";
+        fail(refusal_reason::backend_failed, status_bad_gateway);
+        return next_step::done;
+    }
+    ex->response_memory = std::move(result.memory);
     deliver(std::move(result.response));
     return next_step::done;
 }
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -78,7 +78,7 @@
                         const proxy::call_result& result);
     void mark_unreachable(const server_placement& placed);
     bool may_retry(retry_reason reason, bool reached_server);
-    proxy::request_message make_request(const server_placement& placed) const;
+    proxy::request_view make_request(const server_placement& placed) const;
     void deliver(proxy::response_message response);
     // Responds that the request has not run and will not run.
     void refuse(refusal_reason reason, milliseconds retry_after);
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -20,16 +20,30 @@
 constexpr milliseconds directory_ttl{2'000};
 // Interval at which idle connections to servers are checked.
 constexpr milliseconds pool_sweep_interval{1'000};
-// Divisor of the process's memory that gives the limit on request bodies.
+// Divisor of the process's memory that gives the limit on bodies.
 constexpr std::size_t body_memory_divisor = 4;
 constexpr std::size_t bytes_per_mb = 1'000'000;
 
-proxy::front_options caller_options(const settings& config)
+std::shared_ptr<proxy::body_budget> make_body_budget(const settings& config)
 {
-    proxy::front_options options;
-    options.max_buffered_body_bytes =
+    return std::make_shared<proxy::body_budget>(
         static_cast<std::size_t>(config.memory_mb) * bytes_per_mb /
-        body_memory_divisor;
+        body_memory_divisor);
+}
+
+proxy::upstream_options
+server_options(const std::shared_ptr<proxy::body_budget>& bodies)
+{
+    proxy::upstream_options options;
+    options.bodies = bodies;
+    return options;
+}
+
+proxy::front_options
+caller_options(const std::shared_ptr<proxy::body_budget>& bodies)
+{
+    proxy::front_options options;
+    options.bodies = bodies;
     return options;
 }
 
@@ -48,10 +62,11 @@
 traffic_plane::traffic_plane(const settings& config, const adapter& adapted,
                              telemetry::metrics& metrics)
     : platform(adapted), counters(metrics), io(1),
-      work(proxy::asio::make_work_guard(io)), pool(io, {}),
+      work(proxy::asio::make_work_guard(io)), bodies(make_body_budget(config)),
+      pool(io, server_options(bodies)),
       token_peers(io, token_endpoint(config),
                   {[this](std::uint32_t customer)
-                   { return take_region_token(state, customer, now()); },
+                   { return answer_token_request(customer); },
                    [this](std::uint32_t customer)
                    {
                        return_region_token(state, customer);
@@ -71,7 +86,7 @@
             [this, handler](const proxy::exchange_ptr& ex)
             { (this->*handler)(ex); }));
     };
-    listen(config.callers, caller_options(config),
+    listen(config.callers, caller_options(bodies),
            &traffic_plane::serve_request);
     listen(config.directory, {}, &traffic_plane::serve_directory);
     listen(config.readiness, {}, &traffic_plane::serve_readiness);
--- a/src/edge/traffic_plane.hpp
+++ b/src/edge/traffic_plane.hpp
@@ -56,6 +56,8 @@
     proxy::asio::executor_work_guard<proxy::asio::io_context::executor_type>
         work;
     traffic_state state;
+    // Memory for the bodies of callers' requests and of their responses.
+    std::shared_ptr<proxy::body_budget> bodies;
     proxy::upstream_pool pool;
     token_exchange token_peers;
     flow_context context;
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -9,6 +9,10 @@
 {
 
 constexpr std::size_t read_chunk_bytes = 4'096;
+// Largest limit on the size of a header that a configuration can set.
+constexpr std::size_t max_header_limit_bytes = 1'048'576;
+// Maximum size of what is read ahead of the parser.
+constexpr std::size_t max_read_ahead_bytes = 65'536;
 
 // Returns a completion token that stores the error code instead of throwing it.
 auto store_error(error_code& ec)
@@ -83,12 +87,9 @@
 {
     close();
     const auto waiting = std::exchange(pending, {});
+    shared->open_exchanges -= waiting.size();
     for (const auto& it : waiting)
-    {
-        if (!it->response)
-            release(*it);
         cancel(*it);
-    }
 }
 
 bool front_connection::close_if_expired(time_point at)
@@ -135,27 +136,18 @@
     const auto ex = std::make_shared<exchange>();
     ex->received = now();
     ex->request = std::move(request);
-    ex->body_bytes = ex->request.body().size();
-    shared->body_bytes += ex->body_bytes;
+    ex->request_memory = std::move(memory);
     ++shared->open_exchanges;
-    ex->on_response = [weak = weak_from_this(), it = ex.get()]
+    ex->on_response = [weak = weak_from_this()]
     {
         const auto self = weak.lock();
-        if (!self)
-            return;
-        self->release(*it);
-        self->writer_signal.cancel();
+        if (self)
+            self->writer_signal.cancel();
     };
     pending.push_back(ex);
     shared->handler(ex);
 }
 
-void front_connection::release(const exchange& ex)
-{
-    shared->body_bytes -= ex.body_bytes;
-    --shared->open_exchanges;
-}
-
 void front_connection::queue_error_response(unsigned status,
                                             std::string_view text)
 {
@@ -180,21 +172,23 @@
         buffer.commit(n);
     }
     set_activity(activity::reading_header);
-    http::request_parser<http::string_body> parser;
+    request_parser parser;
     const auto& options = shared->options;
-    parser.header_limit(
-        static_cast<std::uint32_t>(options.limits.max_header_bytes));
+    parser.header_limit(static_cast<std::uint32_t>(std::min(
+        options.limits.max_header_bytes, max_header_limit_bytes)));
     parser.body_limit(options.limits.max_body_bytes);
+    // Bounds what the parser needs at once, such as a chunk extension.
+    buffer.max_size(std::min(options.limits.max_header_bytes,
+                             max_header_limit_bytes) +
+                    max_read_ahead_bytes);
     co_await http::async_read_header(socket, buffer, parser, store_error(ec));
+    const auto memory = std::make_shared<body_reservation>(
+        options.bodies, options.bodies->limit() / 2);
+    if (!ec && !memory->resize(parser.content_length().value_or(0)))
+        ec = asio::error::no_buffer_space;
     if (!ec && !parser.is_done())
     {
         set_activity(activity::reading_body);
-        const auto length = parser.content_length().value_or(0);
-        if (shared->body_bytes + length > options.max_buffered_body_bytes)
-        {
-            queue_error_response(503, "no memory for the request body");
-            co_return false;
-        }
         if (beast::iequals(parser.get()[http::field::expect], "100-continue") &&
             pending.empty())
         {
@@ -203,7 +197,12 @@
                                        store_error(ec));
         }
         if (!ec)
-            co_await http::async_read(socket, buffer, parser, store_error(ec));
+            ec = co_await read_body(parser, *memory);
+    }
+    if (ec == asio::error::no_buffer_space)
+    {
+        queue_error_response(503, "no memory for the request body");
+        co_return false;
     }
     if (ec)
     {
@@ -214,10 +213,28 @@
     if (last_request_read)
         co_return false;
     last_request_read = !parser.keep_alive();
-    accept_request(parser.release());
+    accept_request(parser.release(), memory);
     co_return true;
 }
 
+asio::awaitable<error_code>
+front_connection::read_body(request_parser& parser, body_reservation& memory)
+{
+    error_code ec;
+    while (!ec && !parser.is_done())
+    {
+        if (!reserve_room(parser.get().body(), buffer.capacity(), memory))
+            ec = asio::error::no_buffer_space;
+        else
+            co_await http::async_read_some(socket, buffer, parser,
+                                           store_error(ec));
+    }
+    // Connections stay open for long; large buffers do not stay with them.
+    if (buffer.size() == 0)
+        buffer.shrink_to_fit();
+    co_return ec;
+}
+
 asio::awaitable<void> front_connection::read_requests()
 {
     const auto self = shared_from_this();
--- a/src/proxy/front_connection.hpp
+++ b/src/proxy/front_connection.hpp
@@ -20,8 +20,9 @@
     // Maximum number of requests of one connection that await their responses.
     // Reading pauses at this number.
     std::size_t max_pipelined_requests = 16;
-    // Maximum total size of buffered request bodies over all connections.
-    std::size_t max_buffered_body_bytes = 64'000'000;
+    // Memory for the bodies of all connections that share this budget.
+    std::shared_ptr<body_budget> bodies =
+        std::make_shared<body_budget>(default_body_bytes);
     // Maximum time to write one response to the caller.
     milliseconds write_timeout{10'000};
     // Maximum time to wait for the caller to close its end after the last
@@ -37,10 +38,8 @@
     // Each connection closes after the next response that leaves no request
     // pending.
     bool draining = false;
-    // Total size of the request bodies of the open exchanges.
-    std::size_t body_bytes = 0;
-    // Number of exchanges passed to the handler that have neither a response
-    // nor been cancelled.
+    // Number of exchanges whose responses have not been written and that have
+    // not been cancelled.
     std::size_t open_exchanges = 0;
 };
 
@@ -81,12 +80,14 @@
     // Reads one request and accepts it. Returns false if none was accepted,
     // also when an error response has been queued.
     asio::awaitable<bool> read_request();
+    // Reads the body and reserves memory for it as it grows. Fails with
+    // no_buffer_space if there is none left.
+    asio::awaitable<error_code> read_body(request_parser& parser,
+                                          body_reservation& memory);
     asio::awaitable<void> write_responses();
     asio::awaitable<void> read_until_closed();
     // Adds the request to the counters of the listener and calls the handler.
-    void accept_request(request_message request);
-    // Subtracts an exchange from the counters of the listener.
-    void release(const exchange& ex);
+    void accept_request(request_message request, body_reservation_ptr memory);
     // Queues a response to a request that is not accepted. The connection
     // closes after it.
     void queue_error_response(unsigned status, std::string_view text);
--- a/src/proxy/messages.hpp
+++ b/src/proxy/messages.hpp
@@ -6,6 +6,7 @@
 // thread-safe: everything here is used by the traffic thread only.
 
 #include <parsleyplank/core/clock.hpp>
+#include <parsleyplank/proxy/body_budget.hpp>
 
 // Asio 1.74 uses std::exchange without including its header.
 // clang-format off
@@ -32,6 +33,8 @@
 
 using request_message = http::request<http::string_body>;
 using response_message = http::response<http::string_body>;
+// A request whose body is held elsewhere.
+using request_view = http::request<http::span_body<const char>>;
 
 // One request of a caller and its response. Created when the request has been
 // read completely.
@@ -42,8 +45,9 @@
     time_point received;
     // Set at most once, by respond().
     std::optional<response_message> response;
-    // Size of the request body in bytes, as received.
-    std::size_t body_bytes = 0;
+    // Memory of the two bodies; null if there is none.
+    body_reservation_ptr request_memory;
+    body_reservation_ptr response_memory;
     // The caller has disconnected; a response can no longer be delivered.
     bool cancelled = false;
     // Called at most once, when the caller disconnects before the response is
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -11,9 +11,16 @@
 namespace
 {
 
-// Maximum number of responses that are skipped because they are informational
-// or belong to another request. After one more, the call counts as lost.
+// Maximum number of responses that are skipped because they belong to another
+// request, and because they are informational. After one more, the call counts
+// as lost.
 constexpr int max_stray_responses = 3;
+constexpr int max_informational_responses = 8;
+
+// Capacity of the buffer of a connection, and while it reads a long body: each
+// read takes at most what the buffer has room for.
+constexpr std::size_t read_buffer_bytes = 4'096;
+constexpr std::size_t body_read_buffer_bytes = 32'768;
 
 // Returns a completion token that stores the error code instead of throwing it.
 auto store_error(error_code& ec)
@@ -26,6 +33,12 @@
     return std::chrono::steady_clock::now();
 }
 
+// Covers the statuses that the HTTP library does not know, such as 103.
+bool is_informational(unsigned status)
+{
+    return status / 100 == 1;
+}
+
 std::chrono::microseconds elapsed_since(time_point from)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(now() - from);
@@ -123,6 +136,9 @@
 {
     auto& idle_connections = idle[server];
     connection->idle_since = now();
+    // A connection that has carried a long body does not keep its buffer.
+    if (connection->buffer.capacity() > read_buffer_bytes)
+        connection->buffer.shrink_to_fit();
     idle_connections.push_back(std::move(connection));
     if (idle_connections.size() > options.idle_per_server)
     {
@@ -188,7 +204,8 @@
 asio::awaitable<bool> upstream_call::connect(call_result& result)
 {
     const auto began = now();
-    connection = std::make_shared<upstream_connection>(pool.context());
+    connection = std::make_shared<upstream_connection>(
+        pool.context(), pool.settings().max_read_ahead_bytes);
     error_code ec;
     const tcp::endpoint remote_endpoint(
         asio::ip::make_address(target->endpoint.address, ec),
@@ -219,29 +236,72 @@
         { self->write_done = !ec; });
 }
 
+body_reservation_ptr upstream_call::reserve_memory()
+{
+    const auto& bodies = pool.settings().bodies;
+    return std::make_shared<body_reservation>(
+        bodies, bodies->limit(),
+        [weak = weak_from_this()]
+        {
+            if (const auto self = weak.lock())
+                self->interrupt(call_outcome::lost);
+        });
+}
+
+asio::awaitable<error_code>
+upstream_call::read_message(response_parser& parser, body_reservation& memory)
+{
+    auto& socket = connection->socket;
+    auto& buffer = connection->buffer;
+    buffer.reserve(read_buffer_bytes);
+    error_code ec;
+    co_await http::async_read_header(socket, buffer, parser, store_error(ec));
+    const auto length = parser.content_length();
+    if (!ec && length && *length > read_buffer_bytes)
+        buffer.reserve(body_read_buffer_bytes);
+    while (!ec && !interrupted && !parser.is_done())
+    {
+        auto& body = parser.get().body();
+        if (body.size() > body_read_buffer_bytes)
+            buffer.reserve(body_read_buffer_bytes);
+        if (!reserve_room(body, buffer.capacity(), memory))
+            ec = asio::error::no_buffer_space;
+        else
+            co_await http::async_read_some(socket, buffer, parser,
+                                           store_error(ec));
+    }
+    co_return ec;
+}
+
 asio::awaitable<void> upstream_call::read_response(call_result& result,
                                                    const correlation& expected,
                                                    bool head)
 {
-    for (int n = 0; n <= max_stray_responses; ++n)
+    int strays = 0;
+    int informational = 0;
+    while (strays <= max_stray_responses &&
+           informational <= max_informational_responses)
     {
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(pool.settings().max_response_body_bytes);
+        response_parser parser;
+        parser.header_limit(pool.settings().max_header_bytes);
+        parser.body_limit(pool.settings().bodies->limit() / 2);
         parser.skip(head);
-        error_code ec;
-        co_await http::async_read(connection->socket, connection->buffer,
-                                  parser, store_error(ec));
+        const auto memory = reserve_memory();
+        const auto ec = co_await read_message(parser, *memory);
         if (ec || interrupted)
         {
             result.outcome = outcome_or(call_outcome::lost);
-            result.detail = "read: " + ec.message();
+            result.detail =
+                "read: " + (ec ? ec.message() : "memory of the body reclaimed");
             co_return;
         }
         reusable = reusable && parser.keep_alive() && !parser.get().need_eof();
         auto response = parser.release();
-        if (http::to_status_class(response.result()) ==
-            http::status_class::informational)
+        if (is_informational(response.result_int()))
+        {
+            ++informational;
             continue;
+        }
         const auto echoed = header_value(response, expected.header);
         // A response without the echoed header is accepted only on a new
         // connection, which has carried no other request.
@@ -249,24 +309,30 @@
             echoed == expected.value || (echoed.empty() && !result.reused);
         if (matches)
         {
+            memory->keep();
             result.outcome = call_outcome::answered;
             result.response = std::move(response);
+            result.memory = memory;
             co_return;
         }
         reusable = false;
+        ++strays;
     }
     result.outcome = call_outcome::lost;
-    result.detail = "only responses to other requests";
+    result.detail = strays > max_stray_responses
+                        ? "only responses to other requests"
+                        : "only informational responses";
 }
 
-asio::awaitable<call_result> upstream_call::run(request_message request,
-                                                bool repeatable,
-                                                correlation expected,
-                                                time_point deadline)
+asio::awaitable<call_result>
+upstream_call::run(request_view request,
+                   std::shared_ptr<const void> body_owner, bool repeatable,
+                   correlation expected, time_point deadline)
 {
     const auto self = shared_from_this();
     call_result result;
     message = std::move(request);
+    message_body_owner = std::move(body_owner);
     if (interrupted)
     {
         result.outcome = call_outcome::cancelled;
--- a/src/proxy/upstream_call.hpp
+++ b/src/proxy/upstream_call.hpp
@@ -28,14 +28,20 @@
     milliseconds max_idle_unrepeatable{300};
     // Maximum number of idle connections per server.
     std::size_t idle_per_server = 16;
-    // Maximum size of the body of one response.
-    std::size_t max_response_body_bytes = 64'000'000;
+    // Maximum size of the header of one response, and of what is read ahead of
+    // the parser.
+    std::uint32_t max_header_bytes = 16'384;
+    std::size_t max_read_ahead_bytes = 65'536;
+    // Memory for the bodies of all responses. One response may take half of it.
+    std::shared_ptr<body_budget> bodies =
+        std::make_shared<body_budget>(default_body_bytes);
 };
 
 // A connection to a backend server with the bytes read ahead from it.
 struct upstream_connection
 {
-    explicit upstream_connection(asio::io_context& io) : socket(io)
+    upstream_connection(asio::io_context& io, std::size_t max_read_ahead_bytes)
+        : socket(io), buffer(max_read_ahead_bytes)
     {
     }
 
@@ -105,6 +111,8 @@
 {
     call_outcome outcome = call_outcome::not_sent;
     response_message response;
+    // Memory of the body of the response.
+    body_reservation_ptr memory;
     // Whether the connection came from the pool.
     bool reused = false;
     // Time to connect; empty if no new connection was established.
@@ -123,6 +131,8 @@
     std::string value;
 };
 
+using response_parser = http::response_parser<http::string_body>;
+
 // One request to a backend server.
 class upstream_call : public std::enable_shared_from_this<upstream_call>
 {
@@ -131,9 +141,12 @@
 
     // Sends the request and waits for the response until the deadline. A
     // request that is not `repeatable` reuses only recently used connections.
-    // Must be called at most once.
-    asio::awaitable<call_result> run(request_message request, bool repeatable,
-                                     correlation expected, time_point deadline);
+    // `body_owner` keeps the memory of the request's body. Must be called at
+    // most once.
+    asio::awaitable<call_result> run(request_view request,
+                                     std::shared_ptr<const void> body_owner,
+                                     bool repeatable, correlation expected,
+                                     time_point deadline);
 
     // Aborts the call by closing its connection, so that the server can stop
     // processing the request.
@@ -143,6 +156,10 @@
     asio::awaitable<bool> connect(call_result& result);
     asio::awaitable<void> read_response(call_result& result,
                                         const correlation& expected, bool head);
+    // Reads one response and reserves memory for its body as it grows.
+    asio::awaitable<error_code> read_message(response_parser& parser,
+                                             body_reservation& memory);
+    body_reservation_ptr reserve_memory();
     void begin_write();
     void arm_timer(time_point at);
     // Closes the connection and records the reason; only the first one counts.
@@ -153,7 +170,8 @@
     upstream_pool& pool;
     steering::server_ptr target;
     upstream_connection_ptr connection;
-    request_message message;
+    request_view message;
+    std::shared_ptr<const void> message_body_owner;
     asio::steady_timer timer;
     std::optional<call_outcome> interrupted;
     bool write_done = false;
--- a/test/correctness/edge_data_path.cpp
+++ b/test/correctness/edge_data_path.cpp
@@ -30,6 +30,9 @@
     CPPUNIT_TEST(a_server_failure_is_delivered_if_the_retry_is_refused);
     CPPUNIT_TEST(a_body_that_ends_early_never_looks_complete);
     CPPUNIT_TEST(a_late_response_to_another_request_is_skipped);
+    CPPUNIT_TEST(a_second_copy_of_a_response_reaches_no_other_caller);
+    CPPUNIT_TEST(a_late_response_without_an_id_reaches_no_other_caller);
+    CPPUNIT_TEST(an_order_is_not_reported_as_not_run_without_the_mark);
     CPPUNIT_TEST(failures_of_a_server_pass_unchanged);
     CPPUNIT_TEST(the_rest_of_a_body_never_reaches_another_request);
     CPPUNIT_TEST(a_draining_instance_closes_after_its_response);
@@ -343,6 +346,71 @@
                 .body);
     }
 
+    // Sends two requests over one connection to the server, which puts the given
+    // bytes before its response to the second.
+    void assert_second_is_answered(
+        const std::function<std::string(const std::string& first)>& stray)
+    {
+        std::string first;
+        edge->add_server(
+            [&](const std::string& request)
+            {
+                if (first.empty())
+                {
+                    first = request;
+                    return scripted_response{echo_response(request, "first"),
+                                             false};
+                }
+                return scripted_response{
+                    stray(first) + echo_response(request, "second"), false};
+            });
+        edge->publish();
+        raw_connection caller(edge->config.callers.port);
+        caller.send(edge_fixture::request("GET", "/read/1", "a"));
+        CPPUNIT_ASSERT_EQUAL(std::string("first"), caller.receive().body);
+        caller.send(edge_fixture::request("GET", "/read/1", "b"));
+        CPPUNIT_ASSERT_EQUAL(std::string("second"), caller.receive().body);
+    }
+
+    // Failure scenario of another system: the copy arrives when the connection
+    // is in use again.
+    void a_second_copy_of_a_response_reaches_no_other_caller()
+    {
+        assert_second_is_answered([](const std::string& first)
+                                  { return echo_response(first, "copy"); });
+    }
+
+    void a_late_response_without_an_id_reaches_no_other_caller()
+    {
+        assert_second_is_answered([](const std::string& /*first*/)
+                                  { return http_text("200 OK", "copy"); });
+    }
+
+    // Callers take these statuses as a promise. Without the mark, the server
+    // does not make it.
+    void an_order_is_not_reported_as_not_run_without_the_mark()
+    {
+        for (const auto* const status : {"408 Slow", "429 Many", "503 Broken"})
+        {
+            edge = std::make_unique<edge_fixture>();
+            edge->add_server(
+                [status](const std::string& request)
+                {
+                    return scripted_response{
+                        "HTTP/1.1 " + std::string(status) +
+                            "\r\nParsleyplank-Request-Id: " +
+                            header_of(request, "Parsleyplank-Request-Id") +
+                            "\r\nContent-Length: 0\r\n\r\n",
+                        false};
+                });
+            edge->publish();
+            CPPUNIT_ASSERT_EQUAL(502, send(edge_fixture::request(
+                                               "POST", "/order/1", "a", "",
+                                               "body"))
+                                          .status);
+        }
+    }
+
     void failures_of_a_server_pass_unchanged()
     {
         edge->add_server(
