Judge a new version by its responses since its share grew

Its failures were compared with all its responses: "75 of 494 failed" reached the 15% that the comparison asks for only after hundreds of requests, because some 300 good ones of the trial at 6% stood in the sum. Ruled out: late digests (the verdicts of ten instances fall within 0.3 s).

Change: the results since the share last grew are judged by themselves, too.

Test: edge_rollout, a_version_that_fails_under_load_is_stopped_soon; failed before.

--- a/src/edge/rollout_control.cpp
+++ b/src/edge/rollout_control.cpp
@@ -58,8 +58,13 @@
                       const rollout_control_options& options, time_point now,
                       std::int64_t wall_ms)
 {
+    // A version that fails only under load has many good responses of a smaller
+    // share, so the results since the share grew are judged by themselves, too.
     if (!rollout.fault)
         rollout.fault = steering::find_regression(tally, options.plan);
+    if (!rollout.fault)
+        rollout.fault = steering::find_regression(
+            tally - rollout.tally_at_growth, options.plan);
     if (rollout.fault)
     {
         rollout.share = {0};
@@ -68,7 +73,10 @@
     const std::chrono::duration<double> spent = elapsed(rollout, now, wall_ms);
     const std::chrono::duration<double> whole = rollout.order->duration;
     const auto part = whole.count() > 0 ? spent / whole : 1;
-    rollout.share = steering::planned_share(part, tally, options.plan);
+    const auto share = steering::planned_share(part, tally, options.plan);
+    if (share.value > rollout.share.value)
+        rollout.tally_at_growth = tally;
+    rollout.share = share;
     const bool all = rollout.share.value == ppm_total;
     if (!all)
         rollout.full_share_since.reset();
@@ -100,6 +108,7 @@
     rollout.full_share_since.reset();
     rollout.fault.reset();
     rollout.share = {0};
+    rollout.tally_at_growth = {};
     rollout.last_write = {};
 }
 
--- a/src/edge/rollout_control.hpp
+++ b/src/edge/rollout_control.hpp
@@ -52,6 +52,8 @@
     std::optional<std::string> fault;
     // Current share of the target in the requests.
     share_ppm share{0};
+    // Results of the fleet when the share last grew.
+    steering::rollout_tally tally_at_growth;
     // Time of the last write for this order. Before the first one, it is set
     // so that the write interval ends when the write is due.
     time_point last_write{};
--- a/src/steering/rollout_plan.cpp
+++ b/src/steering/rollout_plan.cpp
@@ -14,6 +14,19 @@
     return {a.good + b.good, a.bad + b.bad, a.slow + b.slow};
 }
 
+std::uint64_t difference(std::uint64_t later, std::uint64_t earlier)
+{
+    return later - std::min(later, earlier);
+}
+
+version_tally difference(const version_tally& later,
+                         const version_tally& earlier)
+{
+    return {difference(later.good, earlier.good),
+            difference(later.bad, earlier.bad),
+            difference(later.slow, earlier.slow)};
+}
+
 // Returns a description if the target's sample has significantly more faulty
 // responses.
 std::optional<std::string> compare(const char* what,
@@ -40,6 +53,13 @@
     return {sum(a.target, b.target), sum(a.others, b.others)};
 }
 
+rollout_tally operator-(const rollout_tally& later,
+                        const rollout_tally& earlier)
+{
+    return {difference(later.target, earlier.target),
+            difference(later.others, earlier.others)};
+}
+
 std::optional<std::string> find_regression(const rollout_tally& fleet,
                                            const rollout_options& options)
 {
--- a/src/steering/rollout_plan.hpp
+++ b/src/steering/rollout_plan.hpp
@@ -71,6 +71,11 @@
 
 rollout_tally operator+(const rollout_tally& a, const rollout_tally& b);
 
+// Returns the responses in `later` beyond those in `earlier`. A count that is
+// lower there, because an instance has restarted or left, becomes 0.
+rollout_tally operator-(const rollout_tally& later,
+                        const rollout_tally& earlier);
+
 struct rollout_options
 {
     // Part of the duration in which the target gets only the first share.
--- a/test/correctness/edge_rollout.cpp
+++ b/test/correctness/edge_rollout.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(edge_rollout);
     CPPUNIT_TEST(a_good_version_completes_within_the_duration);
     CPPUNIT_TEST(a_bad_version_is_rolled_back_and_stays_rejected);
+    CPPUNIT_TEST(a_version_that_fails_under_load_is_stopped_soon);
     CPPUNIT_TEST(failures_of_all_versions_do_not_roll_back);
     CPPUNIT_TEST(a_version_without_responses_keeps_its_first_share);
     CPPUNIT_TEST(a_lost_write_is_repeated_and_writers_wait_by_rank);
@@ -102,6 +103,22 @@
             policy_of(table[service], {target}).rejected.contains(target));
     }
 
+    // Failure scenario: a version fails only at a larger share. Judged on all
+    // its responses, it was stopped after 500 requests, beyond its limit.
+    void a_version_that_fails_under_load_is_stopped_soon()
+    {
+        order();
+        store(step(milliseconds(0)).front(), 10);
+        tallies[{service, target}] = {{300, 2, 0}, {2'200, 20, 0}};
+        const auto grown = options.plan.trial_part * 12'000 + 100;
+        CPPUNIT_ASSERT(step(milliseconds(static_cast<int>(grown))).empty());
+        CPPUNIT_ASSERT(share() == options.plan.second_share);
+        tallies[{service, target}] = {{318, 14, 0}, {2'260, 21, 0}};
+        const auto writes = step(milliseconds(static_cast<int>(grown) + 500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), writes.size());
+        CPPUNIT_ASSERT(writes.front().next.phase == rollout_phase::rolled_back);
+    }
+
     // Failure scenario: the answers of servers of all versions are lost during
     // a rollout, so the target is not at fault.
     void failures_of_all_versions_do_not_roll_back()
