Do not count the cold objects of new servers as slow

All objects are cold on new servers. Ruled out: cold servers, whose responses are not counted.

Change: a response is compared with the time of a warm object only if this instance has lately had the object served there. steering::is_slow_response holds the decision.

Test: steering_server_ranking, the_cold_objects_of_a_new_server_are_not_slow; failed before.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -327,9 +327,8 @@
     // Named variables, because GCC 12 destroys temporaries of a co_await twice.
     proxy::correlation echo{context.platform.headers.request_id, id};
     std::shared_ptr<const void> body_owner = ex;
-    auto result =
-        co_await call->run(std::move(request), std::move(body_owner),
-                           idempotent(), std::move(echo), answer_by);
+    auto result = co_await call->run(std::move(request), std::move(body_owner),
+                                     idempotent(), std::move(echo), answer_by);
     call.reset();
     auto& load = state.loads[server->id];
     load.in_flight.erase(number);
@@ -401,15 +400,15 @@
     auto& state = context.state;
     auto& load = state.loads[placed.server->id];
     auto& times = times_of(state, *route, service);
-    const auto usual = times.warm_ms * (1 + placed.rank.queue_factor) *
-                       (placed.rank.warm ? 1 : times.cold_factor + 1);
+    const auto object = steering::object_hash(route->id, affinity_key);
+    const bool known_warm =
+        steering::served_recently(load, object, state.options.health, now());
     const bool slow =
-        !placed.cold && static_cast<double>(result.latency.count()) / 1'000 >
-                            usual * state.options.slow_factor;
+        !placed.cold &&
+        steering::is_slow_response(times, placed.rank, known_warm,
+                                   result.latency, state.options.ranking);
     count_result(state, placed, false, slow);
-    steering::record_object(load,
-                            steering::object_hash(route->id, affinity_key),
-                            state.options.health, now());
+    steering::record_object(load, object, state.options.health, now());
     if (!placed.cold)
         steering::record_latency(times, load, placed.rank, result.latency,
                                  state.options.ranking, state.options.health,
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -31,9 +31,6 @@
     double retry_part_used = 0.8;
     // Time after which an unreachable server is tried again.
     milliseconds unreachable_pause{1'000};
-    // A response is slow if it takes longer than this multiple of the expected
-    // time.
-    double slow_factor = 3.0;
 };
 
 // State of a smooth weighted round-robin: in any run of requests each service
--- a/src/steering/server_ranking.cpp
+++ b/src/steering/server_ranking.cpp
@@ -139,13 +139,20 @@
     return kilobytes * per_kb;
 }
 
+// Returns the service time of a cold request relative to a warm one.
+double cold_factor_of(const service_times& times,
+                      const ranking_options& options)
+{
+    return times.cold_factor > 0 ? times.cold_factor
+                                 : options.cold_object_factor;
+}
+
 ranked_server estimate_cost(const candidate& it, bool warm,
                             const service_times& times,
                             const ranking_options& options,
                             const health_options& health, time_point now)
 {
-    const double factor =
-        times.cold_factor > 0 ? times.cold_factor : options.cold_object_factor;
+    const auto factor = cold_factor_of(times, options);
     const auto slowness = slowness_of(*it.load, health, now);
     double work = times.warm_ms * slowness * (warm ? 1 : factor);
     if (it.cold)
@@ -242,6 +249,17 @@
     return best;
 }
 
+bool is_slow_response(const service_times& times, const ranked_server& server,
+                      bool known_warm, std::chrono::microseconds latency,
+                      const ranking_options& options)
+{
+    constexpr double us_per_ms = 1'000;
+    const auto usual = times.warm_ms * (1 + server.queue_factor) *
+                       (known_warm ? 1 : cold_factor_of(times, options));
+    return static_cast<double>(latency.count()) / us_per_ms >
+           usual * options.slow_factor;
+}
+
 void record_latency(service_times& times, server_load& load,
                     const ranked_server& chosen,
                     std::chrono::microseconds latency,
@@ -276,8 +294,7 @@
     constexpr double max_factor = 10;
     const auto factor = std::clamp(
         work / std::max(1.0, times.warm_ms * load.slowness), 1.0, max_factor);
-    const auto known =
-        times.cold_factor > 0 ? times.cold_factor : options.cold_object_factor;
+    const auto known = cold_factor_of(times, options);
     times.cold_factor = known + (factor - known) * weight;
 }
 
--- a/src/steering/server_ranking.hpp
+++ b/src/steering/server_ranking.hpp
@@ -28,6 +28,9 @@
     double cold_object_factor = 3.0;
     // Service time of a server that is itself cold, relative to a warm server.
     double cold_server_factor = 2.0;
+    // A response is slow if it takes longer than this multiple of the expected
+    // time.
+    double slow_factor = 3.0;
     // Weight of one sample in the averages of service times.
     double sample_weight = 0.1;
     // Factors by which a sample above or below the quantile adjusts it. Their
@@ -164,6 +167,13 @@
               const ranking_options& options, const health_options& health,
               bool free_slots_only, time_point now);
 
+// Returns whether a response was slower than load and cold caches explain. An
+// object is taken for warm only if `known_warm`: a new server, such as those of
+// a new version, is not yet warm for the objects that are assigned to it.
+bool is_slow_response(const service_times& times, const ranked_server& server,
+                      bool known_warm, std::chrono::microseconds latency,
+                      const ranking_options& options);
+
 // Updates the service times and the server's slowness with a measured latency
 // of the chosen server.
 void record_latency(service_times& times, server_load& load,
--- a/test/correctness/steering_server_ranking.cpp
+++ b/test/correctness/steering_server_ranking.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(an_unresponsive_server_gets_no_requests);
     CPPUNIT_TEST(a_failing_server_is_ejected_and_tried_again);
     CPPUNIT_TEST(a_slow_server_is_tried_again_after_a_while);
+    CPPUNIT_TEST(the_cold_objects_of_a_new_server_are_not_slow);
     CPPUNIT_TEST_SUITE_END();
 
     const time_point start{std::chrono::hours(1)};
@@ -329,6 +330,24 @@
         CPPUNIT_ASSERT_EQUAL(first, chosen(group, "3", later));
     }
 
+    // Failure scenario: all objects are cold on the servers of a new version.
+    // 4 of 13 responses counted as slow and a good version was rolled back.
+    void the_cold_objects_of_a_new_server_are_not_slow()
+    {
+        const ranking_options ranking;
+        service_times times = initial_times(milliseconds(400));
+        times.warm_ms = 110;
+        const ranked_server assigned;
+        CPPUNIT_ASSERT(assigned.warm);
+        const std::chrono::milliseconds cold(540);
+        CPPUNIT_ASSERT(
+            !is_slow_response(times, assigned, false, cold, ranking));
+        CPPUNIT_ASSERT(is_slow_response(times, assigned, true, cold, ranking));
+        const std::chrono::milliseconds eight_times_as_long(2'900);
+        CPPUNIT_ASSERT(is_slow_response(times, assigned, false,
+                                        eight_times_as_long, ranking));
+    }
+
     void a_slow_server_is_tried_again_after_a_while()
     {
         auto group = one_domain(2);
