--- a/apps/parsleyplank-edge/main.cpp
+++ b/apps/parsleyplank-edge/main.cpp
@@ -64,8 +64,8 @@
     telemetry::metrics counters;
     edge::traffic_plane traffic(config, adapter, counters);
     edge::control_plane control(
-        config, adapter, [&] { return open_store(config); }, traffic,
-        counters, edge::control_options_for(config.bounds));
+        config, adapter, [&] { return open_store(config); }, traffic, counters,
+        edge::control_options_for(config.bounds));
     control.watch_settings(file, [&] { reload(file, config); });
     control.run();
     // Exits without joining the threads that call the store: they may block for
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -81,8 +81,7 @@
                              traffic_plane& plane, telemetry::metrics& metrics,
                              control_options opts)
     : config(chosen), platform(adapted), traffic(plane), counters(metrics),
-      options(opts),
-      log(component_logger("control")), io(1),
+      options(opts), log(component_logger("control")), io(1),
       signals(io, SIGTERM, SIGINT, SIGHUP), tick_timer(io), heartbeat_timer(io),
       removal_timer(io),
       peer_socket(io,
@@ -435,8 +434,8 @@
     }
     catch (const error& ec)
     {
-        note_unknown_value("record of key " + it.key + " skipped: " +
-                           ec.what());
+        note_unknown_value("record of key " + it.key +
+                           " skipped: " + ec.what());
         // An unreadable record names no server to use, so an earlier one of
         // the same id does not hold either.
         if (const auto id = after_prefix(it.key, layout.server_prefix))
--- a/src/edge/token_exchange.cpp
+++ b/src/edge/token_exchange.cpp
@@ -98,10 +98,9 @@
     const auto answer = holder.take(message.customer);
     if (answer == token_answer::unknown)
         return;
-    send(sender,
-         {answer == token_answer::granted ? token_message_type::granted
-                                          : token_message_type::refused,
-          message.correlation_id, message.customer});
+    send(sender, {answer == token_answer::granted ? token_message_type::granted
+                                                  : token_message_type::refused,
+                  message.correlation_id, message.customer});
 }
 
 void token_exchange::handle_datagram(std::size_t n)
--- a/src/proxy/body_budget.cpp
+++ b/src/proxy/body_budget.cpp
@@ -9,7 +9,8 @@
 body_reservation::body_reservation(std::shared_ptr<body_budget> from,
                                    std::size_t max_total,
                                    std::function<void()> on_reclaim)
-    : budget(std::move(from)), total_limit(std::min(max_total, budget->limit())),
+    : budget(std::move(from)),
+      total_limit(std::min(max_total, budget->limit())),
       notify(std::move(on_reclaim))
 {
     if (notify)
@@ -24,7 +25,10 @@
 
 bool body_reservation::resize(std::size_t n)
 {
-    const auto others = [this] { return budget->total - bytes; };
+    const auto others = [this]
+    {
+        return budget->total - bytes;
+    };
     while (n > bytes && others() + n > total_limit)
         if (!budget->reclaim_larger_than(n, this))
             return false;
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -174,13 +174,13 @@
     set_activity(activity::reading_header);
     request_parser parser;
     const auto& options = shared->options;
-    parser.header_limit(static_cast<std::uint32_t>(std::min(
-        options.limits.max_header_bytes, max_header_limit_bytes)));
+    parser.header_limit(static_cast<std::uint32_t>(
+        std::min(options.limits.max_header_bytes, max_header_limit_bytes)));
     parser.body_limit(options.limits.max_body_bytes);
     // Bounds what the parser needs at once, such as a chunk extension.
-    buffer.max_size(std::min(options.limits.max_header_bytes,
-                             max_header_limit_bytes) +
-                    max_read_ahead_bytes);
+    buffer.max_size(
+        std::min(options.limits.max_header_bytes, max_header_limit_bytes) +
+        max_read_ahead_bytes);
     co_await http::async_read_header(socket, buffer, parser, store_error(ec));
     const auto memory = std::make_shared<body_reservation>(
         options.bodies, options.bodies->limit() / 2);
--- a/src/proxy/front_listener.cpp
+++ b/src/proxy/front_listener.cpp
@@ -30,7 +30,7 @@
                                front_options options, request_handler handler)
     : acceptor(io), sweep_timer(io), shared(std::make_shared<front_shared>())
 {
-    shared->options = options;
+    shared->options = std::move(options);
     shared->handler = std::move(handler);
     try
     {
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -99,7 +99,7 @@
 
 upstream_pool::upstream_pool(asio::io_context& context,
                              upstream_options pool_options)
-    : io(context), options(pool_options)
+    : io(context), options(std::move(pool_options))
 {
 }
 
@@ -325,9 +325,8 @@
 }
 
 asio::awaitable<call_result>
-upstream_call::run(request_view request,
-                   std::shared_ptr<const void> body_owner, bool repeatable,
-                   correlation expected, time_point deadline)
+upstream_call::run(request_view request, std::shared_ptr<const void> body_owner,
+                   bool repeatable, correlation expected, time_point deadline)
 {
     const auto self = shared_from_this();
     call_result result;
--- a/test/correctness/edge_data_path.cpp
+++ b/test/correctness/edge_data_path.cpp
@@ -85,8 +85,8 @@
             raw_connection caller(edge->config.callers.port);
             std::string all;
             for (int i = 0; i < requests; ++i)
-                all += edge_fixture::request("GET", "/read/1",
-                                             std::to_string(i));
+                all +=
+                    edge_fixture::request("GET", "/read/1", std::to_string(i));
             caller.send(all);
             edge->publish();
             for (int i = 0; i < requests; ++i)
@@ -346,8 +346,8 @@
                 .body);
     }
 
-    // Sends two requests over one connection to the server, which puts the given
-    // bytes before its response to the second.
+    // Sends two requests over one connection to the server, which puts the
+    // given bytes before its response to the second.
     void assert_second_is_answered(
         const std::function<std::string(const std::string& first)>& stray)
     {
@@ -404,10 +404,10 @@
                         false};
                 });
             edge->publish();
-            CPPUNIT_ASSERT_EQUAL(502, send(edge_fixture::request(
-                                               "POST", "/order/1", "a", "",
-                                               "body"))
-                                          .status);
+            CPPUNIT_ASSERT_EQUAL(
+                502,
+                send(edge_fixture::request("POST", "/order/1", "a", "", "body"))
+                    .status);
         }
     }
 
--- a/test/correctness/edge_token_exchange.cpp
+++ b/test/correctness/edge_token_exchange.cpp
@@ -42,8 +42,8 @@
                 {
                     if (!holding_known)
                         return token_answer::unknown;
-                    const bool granted = of == customer && tokens_left > 0 &&
-                                         tokens_left-- > 0;
+                    const bool granted =
+                        of == customer && tokens_left > 0 && tokens_left-- > 0;
                     return granted ? token_answer::granted
                                    : token_answer::refused;
                 },
--- a/test/correctness/platform_decode.cpp
+++ b/test/correctness/platform_decode.cpp
@@ -150,8 +150,7 @@
             R"(["r2","a.example","/b/","mirror",null],)"
             R"(["r3","a.example","/c/","mirror","s9"]]}})");
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), config.routes.size());
-        CPPUNIT_ASSERT_EQUAL(std::string("r1"),
-                             config.routes.front().id.value);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"), config.routes.front().id.value);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), config.unknown_values.size());
     }
 
@@ -170,8 +169,8 @@
             replaced(configuration, "\"limits\":{",
                      "\"novel\":[],\"limits\":{\"maxNovel\":true,"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(1'000), config.limits.max_body_bytes);
-        CPPUNIT_ASSERT(!decode(server("\"state\":", "\"novel\":{},\"state\":"))
-                            .draining);
+        CPPUNIT_ASSERT(
+            !decode(server("\"state\":", "\"novel\":{},\"state\":")).draining);
     }
 
     void numbers_beyond_their_type_become_the_largest()
--- a/test/failure/edge_endless_responses.cpp
+++ b/test/failure/edge_endless_responses.cpp
@@ -6,7 +6,6 @@
 #include <support/edge_fixture.hpp>
 #include <support/endless_server.hpp>
 #include <support/eventually.hpp>
-
 #include <unistd.h>
 
 #include <fstream>
@@ -71,8 +70,7 @@
     std::thread sampler;
 };
 
-const std::string chunk_of_4k =
-    "1000\r\n" + std::string(4'096, 'x') + "\r\n";
+const std::string chunk_of_4k = "1000\r\n" + std::string(4'096, 'x') + "\r\n";
 
 class edge_endless_responses : public CppUnit::TestFixture
 {
@@ -134,9 +132,8 @@
         for (const auto& it : broken)
         {
             sent += it.requests();
-            CPPUNIT_ASSERT(eventually([&]
-                                      { return it.closed_by_caller() ==
-                                               it.requests(); }));
+            CPPUNIT_ASSERT(eventually(
+                [&] { return it.closed_by_caller() == it.requests(); }));
         }
         // A caller is told that its request has not run only if no server has
         // got it.
@@ -170,9 +167,8 @@
 
     void a_header()
     {
-        assert_bounded({"HTTP/1.1 200 OK\r\n", "X-More: " +
-                                                   std::string(4'096, 'x') +
-                                                   "\r\n"});
+        assert_bounded({"HTTP/1.1 200 OK\r\n",
+                        "X-More: " + std::string(4'096, 'x') + "\r\n"});
     }
 
     void bytes_that_are_no_response()
--- a/test/failure/edge_restart.cpp
+++ b/test/failure/edge_restart.cpp
@@ -115,7 +115,8 @@
                         {[&](const store::list_result&) { ++listings; },
                          [&](const store::list_result&) { ++changes; }, [] {},
                          [&](const std::string&) { ++failures; },
-                         [](const std::string&) {}});
+                         [](const std::string&) {
+                         }});
         feed.watch_peer(steering::server_endpoint{"127.0.0.1", peer.port()});
         CPPUNIT_ASSERT(eventually([&] { return failures > 20; }));
         CPPUNIT_ASSERT_EQUAL(0, asked_peer.load());
