--- a/test/failure/proxy_front_stop.cpp
+++ b/test/failure/proxy_front_stop.cpp
@@ -5,7 +5,7 @@
 #include <parsleyplank/proxy/front_listener.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <support/raw_connection.hpp>
+#include <support/edge_fixture.hpp>
 
 #include <memory>
 #include <thread>
@@ -18,14 +18,6 @@
 
 const std::string get_request = "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n";
 
-std::uint16_t unused_port()
-{
-    proxy::asio::io_context io;
-    const proxy::tcp::acceptor probe(
-        io, {proxy::asio::ip::address_v4::loopback(), 0});
-    return probe.local_endpoint().port();
-}
-
 class proxy_front_stop : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(proxy_front_stop);
@@ -62,7 +54,7 @@
     void setUp() override
     {
         io = std::make_unique<proxy::asio::io_context>(1);
-        port = unused_port();
+        port = free_port();
         response_body = "ok";
         listener = std::make_unique<proxy::front_listener>(
             *io, steering::server_endpoint{"127.0.0.1", port},
--- a/test/support/endless_server.cpp
+++ b/test/support/endless_server.cpp
@@ -1,13 +1,12 @@
 #include "support/endless_server.hpp"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
+#include "support/raw_server.hpp"
+
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
-#include <stdexcept>
 #include <utility>
 
 namespace parsleyplank::test
@@ -38,19 +37,8 @@
 } // namespace
 
 endless_server::endless_server(endless_response sent)
-    : response(std::move(sent))
+    : response(std::move(sent)), listener(listen_on_loopback(bound_port))
 {
-    sockaddr_in endpoint{};
-    endpoint.sin_family = AF_INET;
-    endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t n = sizeof(endpoint);
-    auto* const address = reinterpret_cast<sockaddr*>(&endpoint);
-    constexpr int backlog = 16;
-    listener = socket(AF_INET, SOCK_STREAM, 0);
-    if (bind(listener, address, n) != 0 || listen(listener, backlog) != 0 ||
-        getsockname(listener, address, &n) != 0)
-        throw std::runtime_error("can't listen on 127.0.0.1");
-    bound_port = ntohs(endpoint.sin_port);
     acceptor = std::thread([this] { accept_connections(); });
 }
 
--- a/test/support/endless_server.hpp
+++ b/test/support/endless_server.hpp
@@ -45,8 +45,9 @@
     void serve(int socket);
 
     endless_response response;
-    int listener = -1;
+    // Declared before the socket, whose set-up stores it.
     std::uint16_t bound_port = 0;
+    int listener = -1;
     std::atomic<bool> stopping{false};
     std::atomic<int> received{0};
     std::atomic<int> closed{0};
--- a/test/support/raw_server.cpp
+++ b/test/support/raw_server.cpp
@@ -41,7 +41,7 @@
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-raw_server::raw_server(responder respond) : respond(std::move(respond))
+int listen_on_loopback(std::uint16_t& port)
 {
     sockaddr_in where{};
     where.sin_family = AF_INET;
@@ -49,11 +49,17 @@
     socklen_t n = sizeof(where);
     auto* const address = reinterpret_cast<sockaddr*>(&where);
     constexpr int backlog = 16;
-    listener = socket(AF_INET, SOCK_STREAM, 0);
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
     if (bind(listener, address, n) != 0 || listen(listener, backlog) != 0 ||
         getsockname(listener, address, &n) != 0)
         throw std::runtime_error("can't listen on 127.0.0.1");
-    bound_port = ntohs(where.sin_port);
+    port = ntohs(where.sin_port);
+    return listener;
+}
+
+raw_server::raw_server(responder respond)
+    : respond(std::move(respond)), listener(listen_on_loopback(bound_port))
+{
     thread = std::thread([this] { run(); });
 }
 
--- a/test/support/raw_server.hpp
+++ b/test/support/raw_server.hpp
@@ -23,6 +23,10 @@
 // Returns the bytes of a complete response with this status line and body.
 std::string http_text(const std::string& status, const std::string& body);
 
+// Returns a socket that listens on a free port of 127.0.0.1, and stores the
+// port. Throws std::runtime_error if it can't listen.
+int listen_on_loopback(std::uint16_t& port);
+
 class raw_server
 {
 public:
@@ -50,8 +54,9 @@
     bool serve(connection& from);
 
     responder respond;
-    int listener = -1;
+    // Declared before the socket, whose set-up stores it.
     std::uint16_t bound_port = 0;
+    int listener = -1;
     std::atomic<bool> stopping{false};
     std::vector<connection> connections;
     std::thread thread;
