Keep a part of the log's rate for warnings

Operators saw: under load the lines of requests use up lines_per_s, and the lines that explain the load (failed accepts) are dropped with them. A tenth of the rate is now kept for warnings and errors.

core_bounded_appender failed before: the warning was dropped.

--- a/src/core/bounded_appender.cpp
+++ b/src/core/bounded_appender.cpp
@@ -15,6 +15,12 @@
 {
 
 constexpr std::size_t max_buffered_bytes = 256'000;
+// Fraction of the rate that is kept for warnings and errors, so that the lines
+// of requests under load do not displace them.
+constexpr double warning_reserve = 0.1;
+// Largest write to the output. A pipe takes this many bytes at once, so that
+// the lines of another writer do not come between them.
+constexpr std::size_t max_write_bytes = 4'096;
 // Longest time that a line waits in the buffer before the writer thread writes
 // it.
 constexpr std::chrono::milliseconds write_interval{200};
@@ -45,14 +51,15 @@
     closed = true;
 }
 
-bool bounded_appender::admit()
+bool bounded_appender::admit(bool warning)
 {
     const auto now = std::chrono::steady_clock::now();
     const std::chrono::duration<double> span = now - last_refill;
     last_refill = now;
     available_lines =
         std::min(lines_per_s, available_lines + span.count() * lines_per_s);
-    if (available_lines < 1 || buffer.size() > max_buffered_bytes)
+    const double reserve = warning ? 0 : lines_per_s * warning_reserve;
+    if (available_lines < 1 + reserve || buffer.size() > max_buffered_bytes)
     {
         ++dropped;
         return false;
@@ -64,7 +71,7 @@
 void bounded_appender::append(const log4cplus::spi::InternalLoggingEvent& event)
 {
     const std::lock_guard lock(buffer_mutex);
-    if (stopping || !admit())
+    if (stopping || !admit(event.getLogLevel() >= log4cplus::WARN_LOG_LEVEL))
         return;
     std::ostringstream line;
     layout->formatAndAppend(line, event);
@@ -88,8 +95,8 @@
     std::size_t done = 0;
     while (done < text.size())
     {
-        const auto n =
-            ::write(descriptor, text.data() + done, text.size() - done);
+        const auto n = ::write(descriptor, text.data() + done,
+                               std::min(max_write_bytes, text.size() - done));
         if (n < 0 && errno != EINTR)
             return; // Without its output, the log can't report the error.
         done += n > 0 ? static_cast<std::size_t>(n) : 0;
--- a/src/core/bounded_appender.hpp
+++ b/src/core/bounded_appender.hpp
@@ -42,9 +42,10 @@
     void run();
 
     // Takes one line from the rate limit's token bucket. Returns false, and
-    // counts the line as dropped, if the bucket is empty or the buffer is full.
+    // counts the line as dropped, if the bucket is empty, if only its reserve
+    // for warnings is left and the line is none, or if the buffer is full.
     // Assumes that the mutex is held.
-    bool admit();
+    bool admit(bool warning);
 
     // Empties the buffer and returns its lines, with a line that holds the
     // number of dropped lines if there are any. Assumes that the mutex is held.
