Report failed accepts, the wait in the listen queue and the event loop's delay

Now: event=accept_failed / accept_resumed, event=callers_wait with the two delays once a second, connection_ms in the line of a request, gauges for the same and a counter of callers that had left. No decision changes.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -284,7 +284,7 @@
     const bool allowed = co_await take_token();
     if (ex->cancelled)
     {
-        end(0, "cancelled", "caller_gone");
+        end_cancelled();
         co_return;
     }
     if (!allowed)
@@ -309,9 +309,7 @@
         step = co_await attempt(*placed);
     }
     if (ex->cancelled)
-    {
-        end(0, "cancelled", "caller_gone");
-    }
+        end_cancelled();
 }
 
 proxy::asio::awaitable<request_flow::next_step>
@@ -577,6 +575,12 @@
     proxy::respond(*ex, proxy::make_response(status, to_string(reason)));
 }
 
+void request_flow::end_cancelled()
+{
+    context.counters.count_caller_gone();
+    end(0, "cancelled", "caller_gone");
+}
+
 void request_flow::end(unsigned status, std::string_view outcome,
                        std::string_view reason)
 {
@@ -590,6 +594,8 @@
                                            ? run_outcome::not_run
                                            : run_outcome::unknown,
                                        took);
+    const auto connection_age = std::chrono::duration_cast<milliseconds>(
+        ex->received - ex->connection_start);
     const auto state_age = std::chrono::duration_cast<milliseconds>(
         at - context.state.snapshot->last_store_contact);
     LOG4CPLUS_INFO(
@@ -603,6 +609,7 @@
             << (tried.empty() ? "-" : tried.back().value) << " sends=" << sends
             << " status=" << status << " outcome=" << outcome
             << " reason=" << reason << " ms=" << took.count() / 1'000
+            << " connection_ms=" << connection_age.count()
             << " server_ms=" << server_latency.count() / 1'000
             << " expected_ms=" << rank.expected.count()
             << " queue=" << rank.queue_factor << " warm=" << rank.warm
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -88,6 +88,8 @@
     void give_up(refusal_reason reason);
     // Responds that the request may have run.
     void fail(refusal_reason reason, unsigned status);
+    // Ends a request whose caller has disconnected.
+    void end_cancelled();
     void end(unsigned status, std::string_view outcome,
              std::string_view reason);
     bool idempotent() const;
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -20,6 +20,9 @@
 constexpr milliseconds directory_ttl{2'000};
 // Interval at which idle connections to servers are checked.
 constexpr milliseconds pool_sweep_interval{1'000};
+// Delay in reading from callers from which it is logged. They give up a request
+// that is not read for a second.
+constexpr milliseconds reported_delay{100};
 // Divisor of the process's memory that gives the limit on bodies.
 constexpr std::size_t body_memory_divisor = 4;
 constexpr std::size_t bytes_per_mb = 1'000'000;
@@ -218,15 +221,38 @@
     proxy::respond(*ex, proxy::make_response(status_not_found, "no such path"));
 }
 
+void traffic_plane::report_load(std::chrono::microseconds delay)
+{
+    counters.set("event_loop_delay_seconds", "", "",
+                 std::chrono::duration<double>(delay).count());
+    counters.set("caller_connections", "", "",
+                 static_cast<double>(listeners.front()->open_connections()));
+    counters.set("accept_failures", "", "",
+                 static_cast<double>(listeners.front()->accept_failures()));
+    const auto queue_busy = listeners.front()->queue_busy_time();
+    counters.set("listen_queue_busy_seconds", "", "",
+                 std::chrono::duration<double>(queue_busy).count());
+    if (delay >= reported_delay || queue_busy >= reported_delay)
+        LOG4CPLUS_WARN(
+            context.log,
+            "event=callers_wait event_loop_ms="
+                << std::chrono::duration_cast<milliseconds>(delay).count()
+                << " listen_queue_ms=" << queue_busy.count()
+                << " connections=" << listeners.front()->open_connections());
+}
+
 void traffic_plane::sweep()
 {
     pool.sweep();
     sweep_timer.expires_after(pool_sweep_interval);
     sweep_timer.async_wait(
-        [this](const proxy::error_code& ec)
+        [this, due = sweep_timer.expiry()](const proxy::error_code& ec)
         {
-            if (!ec)
-                sweep();
+            if (ec)
+                return;
+            report_load(std::chrono::duration_cast<std::chrono::microseconds>(
+                now() - due));
+            sweep();
         });
 }
 
--- a/src/edge/traffic_plane.hpp
+++ b/src/edge/traffic_plane.hpp
@@ -49,6 +49,9 @@
     void serve_admin(const proxy::exchange_ptr& ex);
     token_answer answer_token_request(std::uint32_t customer);
     void sweep();
+    // Reports the load of the event loop and of the listener for callers.
+    // `delay` is the time by which the sweep timer was handled late.
+    void report_load(std::chrono::microseconds delay);
 
     const adapter& platform;
     telemetry::metrics& counters;
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -48,10 +48,17 @@
                                    std::shared_ptr<front_shared> shared_state)
     : socket(std::move(connected)), shared(std::move(shared_state)),
       writer_signal(socket.get_executor()),
-      reader_signal(socket.get_executor()), activity_start(now())
+      reader_signal(socket.get_executor()), connection_start(now()),
+      activity_start(connection_start)
 {
     writer_signal.expires_at(time_point::max());
     reader_signal.expires_at(time_point::max());
+    ++shared->open_connections;
+}
+
+front_connection::~front_connection()
+{
+    close();
 }
 
 void front_connection::start()
@@ -76,6 +83,7 @@
     if (!open)
         return;
     open = false;
+    --shared->open_connections;
     error_code ec;
     // The error is ignored: the descriptor is released in any case.
     socket.close(ec);
@@ -134,6 +142,7 @@
                                       body_reservation_ptr memory)
 {
     const auto ex = std::make_shared<exchange>();
+    ex->connection_start = connection_start;
     ex->received = now();
     ex->request = std::move(request);
     ex->request_memory = std::move(memory);
--- a/src/proxy/front_connection.hpp
+++ b/src/proxy/front_connection.hpp
@@ -38,6 +38,8 @@
     // Each connection closes after the next response that leaves no request
     // pending.
     bool draining = false;
+    // Number of connections that are open.
+    std::size_t open_connections = 0;
     // Number of exchanges whose responses have not been written and that have
     // not been cancelled.
     std::size_t open_exchanges = 0;
@@ -50,6 +52,10 @@
 public:
     front_connection(tcp::socket connected,
                      std::shared_ptr<front_shared> shared_state);
+    ~front_connection();
+
+    front_connection(const front_connection&) = delete;
+    front_connection& operator=(const front_connection&) = delete;
 
     // Starts the coroutines that read requests and write responses.
     void start();
@@ -105,6 +111,7 @@
     // on it.
     asio::steady_timer writer_signal;
     asio::steady_timer reader_signal;
+    const time_point connection_start;
     activity current_activity = activity::idle;
     time_point activity_start;
     // Default value if no write is in progress.
--- a/src/proxy/front_listener.cpp
+++ b/src/proxy/front_listener.cpp
@@ -1,6 +1,8 @@
 #include <parsleyplank/core/error.hpp>
 #include <parsleyplank/proxy/front_listener.hpp>
 
+#include <poll.h>
+
 #include <algorithm>
 
 namespace parsleyplank::proxy
@@ -23,12 +25,20 @@
             listen_endpoint.port};
 }
 
+// Returns whether an accept on the socket, or a read from it, would not block.
+bool is_readable(int descriptor)
+{
+    pollfd it{descriptor, POLLIN, 0};
+    return ::poll(&it, 1, 0) > 0;
+}
+
 } // namespace
 
 front_listener::front_listener(asio::io_context& io,
                                const steering::server_endpoint& listen_endpoint,
                                front_options options, request_handler handler)
-    : acceptor(io), sweep_timer(io), shared(std::make_shared<front_shared>())
+    : log(component_logger("listener")), acceptor(io), sweep_timer(io),
+      shared(std::make_shared<front_shared>())
 {
     shared->options = std::move(options);
     shared->handler = std::move(handler);
@@ -71,6 +81,24 @@
     acceptor.close(ec);
 }
 
+std::size_t front_listener::open_connections() const
+{
+    return shared->open_connections;
+}
+
+milliseconds front_listener::queue_busy_time() const
+{
+    if (!queue_busy_since)
+        return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now() - *queue_busy_since);
+}
+
+std::uint64_t front_listener::accept_failures() const
+{
+    return failed_accepts;
+}
+
 std::size_t front_listener::open_requests() const
 {
     const auto receiving = std::ranges::count_if(
@@ -107,6 +135,36 @@
     connection->start();
 }
 
+void front_listener::record_accept(const error_code& ec)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (ec)
+    {
+        ++failed_accepts;
+        if (!failing_since)
+        {
+            failing_since = now;
+            LOG4CPLUS_WARN(log, "event=accept_failed detail=\""
+                                    << ec.message() << "\" connections="
+                                    << shared->open_connections);
+        }
+        return;
+    }
+    if (!is_readable(acceptor.native_handle()))
+        queue_busy_since.reset();
+    else if (!queue_busy_since)
+        queue_busy_since = now;
+    if (failing_since)
+    {
+        LOG4CPLUS_WARN(log, "event=accept_resumed ms="
+                                << std::chrono::duration_cast<milliseconds>(
+                                       now - *std::exchange(failing_since, {}))
+                                       .count()
+                                << " failures=" << failed_accepts
+                                << " connections=" << shared->open_connections);
+    }
+}
+
 asio::awaitable<void> front_listener::accept_connections()
 {
     while (acceptor.is_open())
@@ -118,12 +176,14 @@
         {
             if (!acceptor.is_open())
                 co_return;
+            record_accept(ec);
             asio::steady_timer retry_timer(acceptor.get_executor(),
                                            accept_retry_delay);
             co_await retry_timer.async_wait(
                 asio::redirect_error(asio::use_awaitable, ec));
             continue;
         }
+        record_accept(ec);
         start_connection(std::move(socket));
     }
 }
--- a/src/proxy/front_listener.hpp
+++ b/src/proxy/front_listener.hpp
@@ -4,6 +4,7 @@
 // Accepts the connections of callers on one endpoint and enforces their time
 // limits. Not thread-safe: used by the traffic thread only.
 
+#include <parsleyplank/core/log.hpp>
 #include <parsleyplank/proxy/front_connection.hpp>
 #include <parsleyplank/steering/server_registry.hpp>
 
@@ -33,6 +34,16 @@
     // more. All open connections drain.
     void stop();
 
+    // Returns the number of open connections.
+    std::size_t open_connections() const;
+
+    // Returns for how long connections have been waiting to be accepted without
+    // a break; zero if none was waiting after the last accept.
+    milliseconds queue_busy_time() const;
+
+    // Returns how often a connection could not be accepted.
+    std::uint64_t accept_failures() const;
+
     // Returns the number of requests that are being received or whose responses
     // have not been written.
     std::size_t open_requests() const;
@@ -40,16 +51,25 @@
 private:
     asio::awaitable<void> accept_connections();
     void start_connection(tcp::socket socket);
+    // Counts failed accepts and logs the start and the end of a series of them.
+    void record_accept(const error_code& ec);
     // Accepts the connections that are established already.
     void accept_waiting();
     // Closes connections that exceed a time limit, forgets closed ones and
     // schedules the next sweep.
     void sweep();
 
+    log4cplus::Logger log;
     tcp::acceptor acceptor;
     asio::steady_timer sweep_timer;
     std::shared_ptr<front_shared> shared;
     std::list<std::weak_ptr<front_connection>> connections;
+    std::uint64_t failed_accepts = 0;
+    // Time of the first of a series of failed accepts; empty if the last one
+    // succeeded.
+    std::optional<time_point> failing_since;
+    // Time since which a further connection was waiting after each accept.
+    std::optional<time_point> queue_busy_since;
 };
 
 } // namespace parsleyplank::proxy
--- a/src/proxy/messages.hpp
+++ b/src/proxy/messages.hpp
@@ -43,6 +43,8 @@
     request_message request;
     // Time at which the request had been read completely.
     time_point received;
+    // Time at which the connection had been accepted.
+    time_point connection_start;
     // Set at most once, by respond().
     std::optional<response_message> response;
     // Memory of the two bodies; null if there is none.
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -39,6 +39,10 @@
       lookups(make_counters(registry, "parsleyplank_lookups_total",
                             "Look-ups answered.")
                   .Add({})),
+      callers_gone(
+          make_counters(registry, "parsleyplank_callers_gone_total",
+                        "Requests ended because their caller had disconnected.")
+              .Add({})),
       unknown_values(
           make_counters(registry, "parsleyplank_unknown_values_total",
                         "Values of the platform's records that are not known.")
@@ -72,6 +76,11 @@
     lookups.Increment();
 }
 
+void metrics::count_caller_gone()
+{
+    callers_gone.Increment();
+}
+
 void metrics::count_unknown_value()
 {
     unknown_values.Increment();
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -29,6 +29,9 @@
     void count_retry(retry_reason reason);
     void count_lookup();
 
+    // Counts a request that was ended because its caller had disconnected.
+    void count_caller_gone();
+
     // Counts a value of the platform's records that this version does not know.
     void count_unknown_value();
 
@@ -55,6 +58,7 @@
     prometheus::Family<prometheus::Counter>& customer_refusals;
     prometheus::Family<prometheus::Histogram>& durations;
     prometheus::Counter& lookups;
+    prometheus::Counter& callers_gone;
     prometheus::Counter& unknown_values;
 };
 
