Do not handle requests whose callers have left before they were read

Cause: the end of the stream is learned by an event of its own, after the request that lies before it has been read, counted as new and sent on. The time for which a request lay in the listen queue or in the receive buffer is not known to the process.

Ruled out: a late event loop (1 to 29 ms), waiting inside the process (the close was seen 3 ms after the read).

Why it works: the socket itself knows of the close as soon as it has arrived; it is asked right before a request is handed on, with one call that takes no bytes. Unread requests behind it do not hide the close.

--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -1,4 +1,5 @@
 #include <parsleyplank/proxy/front_connection.hpp>
+#include <parsleyplank/proxy/socket_state.hpp>
 
 #include <algorithm>
 
@@ -219,7 +220,8 @@
             queue_error_response(status, ec.message());
         co_return false;
     }
-    if (last_request_read)
+    // A request may have waited unread for longer than its caller did.
+    if (last_request_read || is_closed_by_peer(socket))
         co_return false;
     last_request_read = !parser.keep_alive();
     accept_request(parser.release(), memory);
--- /dev/null
+++ b/src/proxy/socket_state.cpp
@@ -0,0 +1,49 @@
+#include <parsleyplank/proxy/socket_state.hpp>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+
+namespace parsleyplank::proxy
+{
+
+namespace
+{
+
+enum class read_state
+{
+    drained,
+    unread_bytes,
+    ended
+};
+
+read_state peek(tcp::socket& socket)
+{
+    char byte = 0;
+    const auto n = ::recv(socket.native_handle(), &byte, sizeof byte,
+                          MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0)
+        return read_state::unread_bytes;
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)
+               ? read_state::drained
+               : read_state::ended;
+}
+
+} // namespace
+
+bool is_open_and_drained(tcp::socket& socket)
+{
+    return peek(socket) == read_state::drained;
+}
+
+bool is_closed_by_peer(tcp::socket& socket)
+{
+    const auto state = peek(socket);
+    if (state != read_state::unread_bytes)
+        return state == read_state::ended;
+    pollfd it{socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&it, 1, 0) > 0;
+}
+
+} // namespace parsleyplank::proxy
--- /dev/null
+++ b/src/proxy/socket_state.hpp
@@ -0,0 +1,22 @@
+#ifndef PARSLEYPLANK_PROXY_SOCKET_STATE_HPP
+#define PARSLEYPLANK_PROXY_SOCKET_STATE_HPP
+
+// What the system already knows of a connected socket, asked without blocking
+// and without taking bytes from it. An event loop learns the same later, in the
+// order of its events.
+
+#include <parsleyplank/proxy/messages.hpp>
+
+namespace parsleyplank::proxy
+{
+
+// Returns whether the connection is open and has no unread bytes.
+bool is_open_and_drained(tcp::socket& socket);
+
+// Returns whether the other end has closed the connection or its sending side,
+// or the connection has failed, also if unread bytes precede that.
+bool is_closed_by_peer(tcp::socket& socket);
+
+} // namespace parsleyplank::proxy
+
+#endif
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -1,7 +1,6 @@
+#include <parsleyplank/proxy/socket_state.hpp>
 #include <parsleyplank/proxy/upstream_call.hpp>
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <charconv>
 
@@ -44,15 +43,6 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now() - from);
 }
 
-// Returns whether the connection is open and has no unread bytes.
-bool is_open_and_drained(upstream_connection& connection)
-{
-    char byte = 0;
-    const auto n = ::recv(connection.socket.native_handle(), &byte, 1,
-                          MSG_PEEK | MSG_DONTWAIT);
-    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 void close(upstream_connection& connection)
 {
     error_code ec;
@@ -124,7 +114,7 @@
         if (!repeatable && age > options.max_idle_unrepeatable)
             return nullptr;
         idle_connections.pop_back();
-        if (age < connection->idle_limit && is_open_and_drained(*connection))
+        if (age < connection->idle_limit && is_open_and_drained(connection->socket))
             return connection;
         close(*connection);
     }
@@ -154,7 +144,7 @@
         std::erase_if(idle_connections,
                       [&](const upstream_connection_ptr& it) {
                           return at - it->idle_since >= it->idle_limit ||
-                                 !is_open_and_drained(*it);
+                                 !is_open_and_drained(it->socket);
                       });
     std::erase_if(idle, [](const auto& it) { return it.second.empty(); });
 }
