--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -114,7 +114,8 @@
         if (!repeatable && age > options.max_idle_unrepeatable)
             return nullptr;
         idle_connections.pop_back();
-        if (age < connection->idle_limit && is_open_and_drained(connection->socket))
+        if (age < connection->idle_limit &&
+            is_open_and_drained(connection->socket))
             return connection;
         close(*connection);
     }
@@ -142,7 +143,8 @@
     const auto at = now();
     for (auto& [server, idle_connections] : idle)
         std::erase_if(idle_connections,
-                      [&](const upstream_connection_ptr& it) {
+                      [&](const upstream_connection_ptr& it)
+                      {
                           return at - it->idle_since >= it->idle_limit ||
                                  !is_open_and_drained(it->socket);
                       });
