Do not eject a server because this process has no descriptor left

Callers saw 503 and slow responses: a connection to a server that failed for lack of a descriptor or port counted as an unreachable server. Up to three servers were ejected for each such request, their idle connections dropped and their objects taken for cold.

The request is now refused as not run, at once. The idle connections to all servers together are bounded as well: until now only those to each.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -330,7 +330,8 @@
     call.reset();
     auto& load = state.loads[server->id];
     load.in_flight.erase(number);
-    if (result.outcome != proxy::call_outcome::not_sent)
+    if (result.outcome != proxy::call_outcome::not_sent &&
+        result.outcome != proxy::call_outcome::no_resources)
         ++sends;
     record_call(placed, result);
     if (ex->cancelled)
@@ -348,7 +349,8 @@
     auto verdict = steering::request_result::neutral;
     if (result.outcome == call_outcome::answered)
         verdict = record_answer(placed, result);
-    else if (result.outcome != call_outcome::cancelled)
+    else if (result.outcome != call_outcome::cancelled &&
+             result.outcome != call_outcome::no_resources)
     {
         verdict = steering::request_result::bad;
         if (result.outcome != call_outcome::not_sent)
@@ -502,6 +504,10 @@
             return next_step::try_again;
         give_up(refusal_reason::no_capacity);
         break;
+    case call_outcome::no_resources:
+        // Another server can't be connected to either.
+        give_up(refusal_reason::no_capacity);
+        break;
     case call_outcome::lost:
         may_have_run = true;
         if (idempotent() && may_retry(retry_reason::connection_lost, true))
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -2,6 +2,8 @@
 #include <parsleyplank/proxy/upstream_call.hpp>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <charconv>
 
 namespace parsleyplank::proxy
@@ -43,6 +45,16 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now() - from);
 }
 
+// Returns whether a socket could not be opened or connected because of a limit
+// of this process or machine.
+bool lacks_resources(const error_code& ec)
+{
+    constexpr std::array local_errors{EMFILE, ENFILE, ENOBUFS, ENOMEM,
+                                      EADDRNOTAVAIL};
+    return ec.category() == boost::system::system_category() &&
+           std::ranges::find(local_errors, ec.value()) != local_errors.end();
+}
+
 void close(upstream_connection& connection)
 {
     error_code ec;
@@ -77,6 +89,8 @@
         return "answered";
     case call_outcome::not_sent:
         return "not_sent";
+    case call_outcome::no_resources:
+        return "no_resources";
     case call_outcome::lost:
         return "lost";
     case call_outcome::timed_out:
@@ -114,6 +128,7 @@
         if (!repeatable && age > options.max_idle_unrepeatable)
             return nullptr;
         idle_connections.pop_back();
+        --idle_count;
         if (age < connection->idle_limit &&
             is_open_and_drained(connection->socket))
             return connection;
@@ -131,10 +146,13 @@
     if (connection->buffer.capacity() > read_buffer_bytes)
         connection->buffer.shrink_to_fit();
     idle_connections.push_back(std::move(connection));
-    if (idle_connections.size() > options.idle_per_server)
+    ++idle_count;
+    if (idle_connections.size() > options.idle_per_server ||
+        idle_count > options.idle_total)
     {
         close(*idle_connections.front());
         idle_connections.erase(idle_connections.begin());
+        --idle_count;
     }
 }
 
@@ -142,18 +160,23 @@
 {
     const auto at = now();
     for (auto& [server, idle_connections] : idle)
-        std::erase_if(idle_connections,
-                      [&](const upstream_connection_ptr& it)
-                      {
-                          return at - it->idle_since >= it->idle_limit ||
-                                 !is_open_and_drained(it->socket);
-                      });
+        idle_count -=
+            std::erase_if(idle_connections,
+                          [&](const upstream_connection_ptr& it)
+                          {
+                              return at - it->idle_since >= it->idle_limit ||
+                                     !is_open_and_drained(it->socket);
+                          });
     std::erase_if(idle, [](const auto& it) { return it.second.empty(); });
 }
 
 void upstream_pool::drop(const backend_server_id& server)
 {
-    idle.erase(server);
+    const auto it = idle.find(server);
+    if (it == idle.end())
+        return;
+    idle_count -= it->second.size();
+    idle.erase(it);
 }
 
 upstream_call::upstream_call(upstream_pool& connections,
@@ -209,7 +232,8 @@
     {
         result.outcome = interrupted == call_outcome::cancelled
                              ? call_outcome::cancelled
-                             : call_outcome::not_sent;
+                         : lacks_resources(ec) ? call_outcome::no_resources
+                                               : call_outcome::not_sent;
         result.detail = "connect: " + ec.message();
         co_return false;
     }
--- a/src/proxy/upstream_call.hpp
+++ b/src/proxy/upstream_call.hpp
@@ -28,6 +28,8 @@
     milliseconds max_idle_unrepeatable{300};
     // Maximum number of idle connections per server.
     std::size_t idle_per_server = 16;
+    // Maximum number of idle connections to all servers.
+    std::size_t idle_total = 1'024;
     // Maximum size of the header of one response, and of what is read ahead of
     // the parser.
     std::uint32_t max_header_bytes = 16'384;
@@ -67,8 +69,9 @@
     upstream_connection_ptr take(const backend_server_id& server,
                                  bool repeatable);
 
-    // Returns a connection to the pool. Closes the connection that has been
-    // idle longest if the server then has more than idle_per_server.
+    // Returns a connection to the pool. Closes the connection of the server
+    // that has been idle longest if the server then has more than
+    // idle_per_server, or all servers have more than idle_total.
     void put(const backend_server_id& server,
              upstream_connection_ptr connection);
 
@@ -87,6 +90,8 @@
     upstream_options options;
     std::unordered_map<backend_server_id, std::vector<upstream_connection_ptr>>
         idle;
+    // Number of idle connections to all servers.
+    std::size_t idle_count = 0;
 };
 
 // How a call to a backend server ended.
@@ -96,6 +101,9 @@
     answered,
     // No byte of the request has been sent.
     not_sent,
+    // As not_sent, because this process has no descriptor or port left. Says
+    // nothing about the server.
+    no_resources,
     // The request may have been sent in part or whole, but the connection
     // yielded no response to it.
     lost,
