Accept waiting connections together, and keep the listen queue short

Callers saw: under a crowd, a new connection to a busy instance was accepted only after they had left (1 s), so that most of what the instance accepted was for nobody, while they came again on new connections.

Cause: one connection was accepted for each turn of the event loop, and a turn serves all that is ready. At some hundred new connections a second the listen queue (1,024) filled, and a connection waited for longer than its caller.

Now all waiting connections are accepted in one turn; while the event loop is 10 ms late or more, one a turn, so that requests of open connections come first; and the queue holds 128, so that callers beyond it go elsewhere.

--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -43,9 +43,11 @@
 }
 
 proxy::front_options
-caller_options(const std::shared_ptr<proxy::body_budget>& bodies)
+caller_options(const std::shared_ptr<proxy::body_budget>& bodies,
+               const std::shared_ptr<const proxy::loop_monitor>& monitor)
 {
     proxy::front_options options;
+    options.monitor = monitor;
     options.bodies = bodies;
     return options;
 }
@@ -65,8 +67,9 @@
 traffic_plane::traffic_plane(const settings& config, const adapter& adapted,
                              telemetry::metrics& metrics)
     : platform(adapted), counters(metrics), io(1),
-      work(proxy::asio::make_work_guard(io)), bodies(make_body_budget(config)),
-      pool(io, server_options(bodies)),
+      work(proxy::asio::make_work_guard(io)),
+      monitor(std::make_shared<const proxy::loop_monitor>(io)),
+      bodies(make_body_budget(config)), pool(io, server_options(bodies)),
       token_peers(io, token_endpoint(config),
                   {[this](std::uint32_t customer)
                    { return answer_token_request(customer); },
@@ -89,7 +92,7 @@
             [this, handler](const proxy::exchange_ptr& ex)
             { (this->*handler)(ex); }));
     };
-    listen(config.callers, caller_options(bodies),
+    listen(config.callers, caller_options(bodies, monitor),
            &traffic_plane::serve_request);
     listen(config.directory, {}, &traffic_plane::serve_directory);
     listen(config.readiness, {}, &traffic_plane::serve_readiness);
@@ -221,24 +224,27 @@
     proxy::respond(*ex, proxy::make_response(status_not_found, "no such path"));
 }
 
-void traffic_plane::report_load(std::chrono::microseconds delay)
+void traffic_plane::report_load()
 {
-    counters.set("event_loop_delay_seconds", "", "",
-                 std::chrono::duration<double>(delay).count());
-    counters.set("caller_connections", "", "",
-                 static_cast<double>(listeners.front()->open_connections()));
-    counters.set("accept_failures", "", "",
-                 static_cast<double>(listeners.front()->accept_failures()));
-    const auto queue_busy = listeners.front()->queue_busy_time();
-    counters.set("listen_queue_busy_seconds", "", "",
-                 std::chrono::duration<double>(queue_busy).count());
-    if (delay >= reported_delay || queue_busy >= reported_delay)
+    const auto& front = *listeners.front();
+    const auto delay = monitor->delay();
+    const auto& counts = front.counts();
+    const auto set = [this](const char* name, auto value)
+    {
+        counters.set(name, "", "", static_cast<double>(value));
+    };
+    set("event_loop_delay_seconds",
+        std::chrono::duration<double>(delay).count());
+    set("caller_connections", front.open_connections());
+    set("accept_failures", counts.accept_failures);
+    const auto accept_failing = front.accept_failing_time();
+    if (delay >= reported_delay || accept_failing >= reported_delay)
         LOG4CPLUS_WARN(
             context.log,
             "event=callers_wait event_loop_ms="
                 << std::chrono::duration_cast<milliseconds>(delay).count()
-                << " listen_queue_ms=" << queue_busy.count()
-                << " connections=" << listeners.front()->open_connections());
+                << " accept_failing_ms=" << accept_failing.count()
+                << " connections=" << front.open_connections());
 }
 
 void traffic_plane::sweep()
@@ -246,12 +252,11 @@
     pool.sweep();
     sweep_timer.expires_after(pool_sweep_interval);
     sweep_timer.async_wait(
-        [this, due = sweep_timer.expiry()](const proxy::error_code& ec)
+        [this](const proxy::error_code& ec)
         {
             if (ec)
                 return;
-            report_load(std::chrono::duration_cast<std::chrono::microseconds>(
-                now() - due));
+            report_load();
             sweep();
         });
 }
--- a/src/edge/traffic_plane.hpp
+++ b/src/edge/traffic_plane.hpp
@@ -50,14 +50,14 @@
     token_answer answer_token_request(std::uint32_t customer);
     void sweep();
     // Reports the load of the event loop and of the listener for callers.
-    // `delay` is the time by which the sweep timer was handled late.
-    void report_load(std::chrono::microseconds delay);
+    void report_load();
 
     const adapter& platform;
     telemetry::metrics& counters;
     proxy::asio::io_context io;
     proxy::asio::executor_work_guard<proxy::asio::io_context::executor_type>
         work;
+    std::shared_ptr<const proxy::loop_monitor> monitor;
     traffic_state state;
     // Memory for the bodies of callers' requests and of their responses.
     std::shared_ptr<proxy::body_budget> bodies;
--- a/src/proxy/front_connection.hpp
+++ b/src/proxy/front_connection.hpp
@@ -6,6 +6,7 @@
 // responses in the order of the requests. Not thread-safe: used by the traffic
 // thread only.
 
+#include <parsleyplank/proxy/loop_monitor.hpp>
 #include <parsleyplank/proxy/messages.hpp>
 #include <parsleyplank/steering/traffic_config.hpp>
 
@@ -17,6 +18,11 @@
 struct front_options
 {
     steering::caller_limits limits;
+    // Delay of the event loop from which only one new connection is accepted in
+    // each of its turns: the requests of open connections come first. Without
+    // a monitor, all are accepted.
+    milliseconds max_loop_delay{10};
+    std::shared_ptr<const loop_monitor> monitor;
     // Maximum number of requests of one connection that await their responses.
     // Reading pauses at this number.
     std::size_t max_pipelined_requests = 16;
--- a/src/proxy/front_listener.cpp
+++ b/src/proxy/front_listener.cpp
@@ -1,8 +1,6 @@
 #include <parsleyplank/core/error.hpp>
 #include <parsleyplank/proxy/front_listener.hpp>
 
-#include <poll.h>
-
 #include <algorithm>
 
 namespace parsleyplank::proxy
@@ -13,9 +11,10 @@
 
 // Interval between checks of the time limits, hence their precision.
 constexpr milliseconds sweep_interval{500};
-// Maximum number of connections that wait to be accepted. Many callers may
-// connect at the same time.
-constexpr int accept_backlog = 1'024;
+// Maximum number of connections that wait to be accepted. A caller that finds
+// the queue full tries another instance; in a longer queue, it would have left
+// when its turn comes.
+constexpr int accept_backlog = 128;
 // Delay after a failed accept, e.g. when no file descriptor is free.
 constexpr milliseconds accept_retry_delay{50};
 
@@ -25,13 +24,6 @@
             listen_endpoint.port};
 }
 
-// Returns whether an accept on the socket, or a read from it, would not block.
-bool is_readable(int descriptor)
-{
-    pollfd it{descriptor, POLLIN, 0};
-    return ::poll(&it, 1, 0) > 0;
-}
-
 } // namespace
 
 front_listener::front_listener(asio::io_context& io,
@@ -76,6 +68,8 @@
     for (const auto& it : connections)
         if (const auto connection = it.lock())
             connection->close_if_idle();
+    // What has arrived is served, however late that makes the event loop.
+    shared->options.monitor.reset();
     accept_waiting();
     error_code ec;
     acceptor.close(ec);
@@ -86,17 +80,17 @@
     return shared->open_connections;
 }
 
-milliseconds front_listener::queue_busy_time() const
+milliseconds front_listener::accept_failing_time() const
 {
-    if (!queue_busy_since)
+    if (!failing_since)
         return milliseconds(0);
     return std::chrono::duration_cast<milliseconds>(
-        std::chrono::steady_clock::now() - *queue_busy_since);
+        std::chrono::steady_clock::now() - *failing_since);
 }
 
-std::uint64_t front_listener::accept_failures() const
+const connection_counts& front_listener::counts() const
 {
-    return failed_accepts;
+    return totals;
 }
 
 std::size_t front_listener::open_requests() const
@@ -111,17 +105,25 @@
     return shared->open_exchanges + static_cast<std::size_t>(receiving);
 }
 
-void front_listener::accept_waiting()
+bool front_listener::is_loop_late() const
+{
+    const auto& options = shared->options;
+    return options.monitor &&
+           options.monitor->delay() >= options.max_loop_delay;
+}
+
+error_code front_listener::accept_waiting()
 {
     error_code ec;
     acceptor.non_blocking(true, ec);
-    while (!ec)
+    while (!ec && !is_loop_late())
     {
         tcp::socket socket(acceptor.get_executor());
         acceptor.accept(socket, ec);
         if (!ec)
             start_connection(std::move(socket));
     }
+    return ec == asio::error::would_block ? error_code() : ec;
 }
 
 void front_listener::start_connection(tcp::socket socket)
@@ -139,29 +141,22 @@
 {
     const auto now = std::chrono::steady_clock::now();
     if (ec)
+        ++totals.accept_failures;
+    if (ec && !failing_since)
     {
-        ++failed_accepts;
-        if (!failing_since)
-        {
-            failing_since = now;
-            LOG4CPLUS_WARN(log, "event=accept_failed detail=\""
-                                    << ec.message() << "\" connections="
-                                    << shared->open_connections);
-        }
-        return;
+        failing_since = now;
+        LOG4CPLUS_WARN(log, "event=accept_failed detail=\""
+                                << ec.message() << "\" connections="
+                                << shared->open_connections);
     }
-    if (!is_readable(acceptor.native_handle()))
-        queue_busy_since.reset();
-    else if (!queue_busy_since)
-        queue_busy_since = now;
-    if (failing_since)
+    if (!ec && failing_since)
     {
-        LOG4CPLUS_WARN(log, "event=accept_resumed ms="
-                                << std::chrono::duration_cast<milliseconds>(
-                                       now - *std::exchange(failing_since, {}))
-                                       .count()
-                                << " failures=" << failed_accepts
-                                << " connections=" << shared->open_connections);
+        const auto span = now - *std::exchange(failing_since, {});
+        LOG4CPLUS_WARN(
+            log, "event=accept_resumed ms="
+                     << std::chrono::duration_cast<milliseconds>(span).count()
+                     << " failures=" << totals.accept_failures
+                     << " connections=" << shared->open_connections);
     }
 }
 
@@ -172,19 +167,20 @@
         error_code ec;
         auto socket = co_await acceptor.async_accept(
             asio::redirect_error(asio::use_awaitable, ec));
+        if (!ec)
+            start_connection(std::move(socket));
+        if (!acceptor.is_open())
+            co_return;
+        if (!ec)
+            ec = accept_waiting();
+        record_accept(ec);
         if (ec)
         {
-            if (!acceptor.is_open())
-                co_return;
-            record_accept(ec);
             asio::steady_timer retry_timer(acceptor.get_executor(),
                                            accept_retry_delay);
             co_await retry_timer.async_wait(
                 asio::redirect_error(asio::use_awaitable, ec));
-            continue;
         }
-        record_accept(ec);
-        start_connection(std::move(socket));
     }
 }
 
--- a/src/proxy/front_listener.hpp
+++ b/src/proxy/front_listener.hpp
@@ -13,6 +13,13 @@
 namespace parsleyplank::proxy
 {
 
+// What happened to the connections of a listener since it was created.
+struct connection_counts
+{
+    // How often a connection could not be accepted.
+    std::uint64_t accept_failures = 0;
+};
+
 class front_listener
 {
 public:
@@ -37,12 +44,11 @@
     // Returns the number of open connections.
     std::size_t open_connections() const;
 
-    // Returns for how long connections have been waiting to be accepted without
-    // a break; zero if none was waiting after the last accept.
-    milliseconds queue_busy_time() const;
+    // Returns for how long no connection could be accepted; zero if the last
+    // accept succeeded.
+    milliseconds accept_failing_time() const;
 
-    // Returns how often a connection could not be accepted.
-    std::uint64_t accept_failures() const;
+    const connection_counts& counts() const;
 
     // Returns the number of requests that are being received or whose responses
     // have not been written.
@@ -53,8 +59,12 @@
     void start_connection(tcp::socket socket);
     // Counts failed accepts and logs the start and the end of a series of them.
     void record_accept(const error_code& ec);
-    // Accepts the connections that are established already.
-    void accept_waiting();
+    // Returns whether the event loop is too late to accept more than one
+    // connection a turn.
+    bool is_loop_late() const;
+    // Accepts the connections that wait, until the event loop is late. Returns
+    // the error that ended this, if any.
+    error_code accept_waiting();
     // Closes connections that exceed a time limit, forgets closed ones and
     // schedules the next sweep.
     void sweep();
@@ -64,12 +74,10 @@
     asio::steady_timer sweep_timer;
     std::shared_ptr<front_shared> shared;
     std::list<std::weak_ptr<front_connection>> connections;
-    std::uint64_t failed_accepts = 0;
+    connection_counts totals;
     // Time of the first of a series of failed accepts; empty if the last one
     // succeeded.
     std::optional<time_point> failing_since;
-    // Time since which a further connection was waiting after each accept.
-    std::optional<time_point> queue_busy_since;
 };
 
 } // namespace parsleyplank::proxy
