Bound the connections of callers by the descriptors of the process

Callers saw: an instance with many idle callers accepted nobody else, and its own connections to servers failed for lack of descriptors; the health check and the directory of the instance could not be reached either.

Cause: callers keep a connection for 15 s after use, refused ones come again on new connections, and nothing bounded them but the descriptor limit of the process, which all its uses share.

Now each use has a share (edge/descriptor_shares); max_descriptors comes from the settings, or from the system. At the callers' share, the connections idle longest are closed for new ones, an act that cuts no request: a caller whose request crosses the close knows that it was not read. If none is idle, requests of new connections are refused at once with Retry-After, and connections far beyond the share are closed.

--- a/src/edge/settings.cpp
+++ b/src/edge/settings.cpp
@@ -9,6 +9,9 @@
 
 using settings_file::table_reader;
 
+// Fewer leave no connections for callers beside those that the process needs.
+constexpr std::int64_t min_descriptors = 64;
+
 void read_endpoint(table_reader& in, const char* key,
                    steering::server_endpoint& endpoint, bool required)
 {
@@ -22,6 +25,7 @@
     in.text("failure_domain", s.domain.value, true);
     in.address("address", s.address);
     in.number("memory_mb", s.memory_mb, 1, false);
+    in.number("max_descriptors", s.max_descriptors, min_descriptors, false);
     in.reject_unknown();
 }
 
--- a/src/edge/settings.hpp
+++ b/src/edge/settings.hpp
@@ -55,6 +55,8 @@
     failure_domain_id domain;
     std::string address;
     std::int64_t memory_mb = 256;
+    // Number of descriptors that the process may open; 0: as the system tells.
+    std::int64_t max_descriptors = 0;
 
     // [listen]
     steering::server_endpoint callers;
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -1,4 +1,5 @@
 #include <parsleyplank/core/log.hpp>
+#include <parsleyplank/edge/descriptor_shares.hpp>
 #include <parsleyplank/edge/traffic_plane.hpp>
 
 #include <algorithm>
@@ -34,21 +35,41 @@
         body_memory_divisor);
 }
 
+descriptor_shares shares_for(const settings& config)
+{
+    return share_descriptors(
+        config.max_descriptors > 0
+            ? static_cast<std::size_t>(config.max_descriptors)
+            : system_descriptor_limit());
+}
+
 proxy::upstream_options
-server_options(const std::shared_ptr<proxy::body_budget>& bodies)
+server_options(const settings& config,
+               const std::shared_ptr<proxy::body_budget>& bodies)
 {
     proxy::upstream_options options;
     options.bodies = bodies;
+    options.idle_total = shares_for(config).idle_servers;
     return options;
 }
 
 proxy::front_options
-caller_options(const std::shared_ptr<proxy::body_budget>& bodies,
+caller_options(const settings& config,
+               const std::shared_ptr<proxy::body_budget>& bodies,
                const std::shared_ptr<const proxy::loop_monitor>& monitor)
 {
     proxy::front_options options;
     options.monitor = monitor;
     options.bodies = bodies;
+    options.max_connections = shares_for(config).callers;
+    return options;
+}
+
+// Returns the options of the directory, the health check and the metrics.
+proxy::front_options service_options(const settings& config)
+{
+    proxy::front_options options;
+    options.max_connections = shares_for(config).each_service;
     return options;
 }
 
@@ -69,7 +90,8 @@
     : platform(adapted), counters(metrics), io(1),
       work(proxy::asio::make_work_guard(io)),
       monitor(std::make_shared<const proxy::loop_monitor>(io)),
-      bodies(make_body_budget(config)), pool(io, server_options(bodies)),
+      bodies(make_body_budget(config)),
+      pool(io, server_options(config, bodies)),
       token_peers(io, token_endpoint(config),
                   {[this](std::uint32_t customer)
                    { return answer_token_request(customer); },
@@ -92,12 +114,15 @@
             [this, handler](const proxy::exchange_ptr& ex)
             { (this->*handler)(ex); }));
     };
-    listen(config.callers, caller_options(bodies, monitor),
+    listen(config.callers, caller_options(config, bodies, monitor),
            &traffic_plane::serve_request);
-    listen(config.directory, {}, &traffic_plane::serve_directory);
-    listen(config.readiness, {}, &traffic_plane::serve_readiness);
+    listen(config.directory, service_options(config),
+           &traffic_plane::serve_directory);
+    listen(config.readiness, service_options(config),
+           &traffic_plane::serve_readiness);
     if (config.admin.port != 0)
-        listen(config.admin, {}, &traffic_plane::serve_admin);
+        listen(config.admin, service_options(config),
+               &traffic_plane::serve_admin);
     sweep();
     thread = std::thread([this] { io.run(); });
 }
@@ -237,14 +262,19 @@
         std::chrono::duration<double>(delay).count());
     set("caller_connections", front.open_connections());
     set("accept_failures", counts.accept_failures);
+    set("idle_callers_closed", counts.closed_for_others);
+    set("callers_refused", counts.refused);
     const auto accept_failing = front.accept_failing_time();
-    if (delay >= reported_delay || accept_failing >= reported_delay)
+    if (delay >= reported_delay || accept_failing >= reported_delay ||
+        counts.refused > reported_refused)
         LOG4CPLUS_WARN(
             context.log,
             "event=callers_wait event_loop_ms="
                 << std::chrono::duration_cast<milliseconds>(delay).count()
                 << " accept_failing_ms=" << accept_failing.count()
+                << " refused=" << counts.refused - reported_refused
                 << " connections=" << front.open_connections());
+    reported_refused = counts.refused;
 }
 
 void traffic_plane::sweep()
--- a/src/edge/traffic_plane.hpp
+++ b/src/edge/traffic_plane.hpp
@@ -65,6 +65,8 @@
     token_exchange token_peers;
     flow_context context;
     proxy::asio::steady_timer sweep_timer;
+    // Number of refused connections when it was last reported.
+    std::uint64_t reported_refused = 0;
     std::vector<std::unique_ptr<proxy::front_listener>> listeners;
     std::thread thread;
 };
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -15,6 +15,10 @@
 // Maximum size of what is read ahead of the parser.
 constexpr std::size_t max_read_ahead_bytes = 65'536;
 
+// Retry-After of a request that is refused because this process lacks memory or
+// descriptors: other instances are likely to have some.
+constexpr const char* overload_retry_after_s = "0.5";
+
 // Returns a completion token that stores the error code instead of throwing it.
 auto store_error(error_code& ec)
 {
@@ -124,11 +128,26 @@
     return open;
 }
 
-void front_connection::close_if_idle()
+std::optional<time_point> front_connection::idle_since() const
 {
-    if (open && pending.empty() && write_start == time_point{} &&
-        !is_receiving())
+    if (!open || current_activity != activity::idle || !pending.empty() ||
+        write_start != time_point{})
+        return std::nullopt;
+    return activity_start;
+}
+
+bool front_connection::close_if_idle()
+{
+    const bool idle = open && pending.empty() && write_start == time_point{} &&
+                      !is_receiving();
+    if (idle)
         close();
+    return idle;
+}
+
+void front_connection::refuse_request()
+{
+    refusing = true;
 }
 
 bool front_connection::is_receiving() const
@@ -163,6 +182,8 @@
 {
     const auto ex = std::make_shared<exchange>();
     ex->response = make_response(status, text);
+    if (status == 503)
+        ex->response->set(http::field::retry_after, overload_retry_after_s);
     ++shared->open_exchanges;
     pending.push_back(ex);
     last_request_read = true;
@@ -192,6 +213,11 @@
         std::min(options.limits.max_header_bytes, max_header_limit_bytes) +
         max_read_ahead_bytes);
     co_await http::async_read_header(socket, buffer, parser, store_error(ec));
+    if (!ec && refusing)
+    {
+        queue_error_response(503, "too many connections");
+        co_return false;
+    }
     const auto memory = std::make_shared<body_reservation>(
         options.bodies, options.bodies->limit() / 2);
     if (!ec && !memory->resize(parser.content_length().value_or(0)))
--- a/src/proxy/front_connection.hpp
+++ b/src/proxy/front_connection.hpp
@@ -11,6 +11,7 @@
 #include <parsleyplank/steering/traffic_config.hpp>
 
 #include <deque>
+#include <limits>
 
 namespace parsleyplank::proxy
 {
@@ -18,6 +19,10 @@
 struct front_options
 {
     steering::caller_limits limits;
+    // Maximum number of open connections. At this number, those that have been
+    // idle longest are closed for new ones. If none is idle, the requests of
+    // new connections are refused.
+    std::size_t max_connections = std::numeric_limits<std::size_t>::max();
     // Delay of the event loop from which only one new connection is accepted in
     // each of its turns: the requests of open connections come first. Without
     // a monitor, all are accepted.
@@ -70,9 +75,18 @@
     // exceeded. Returns whether the connection is still open.
     bool close_if_expired(time_point now);
 
-    // Closes the connection immediately if it is idle: no part of a request has
-    // been received, and no response is pending or being written.
-    void close_if_idle();
+    // Returns since when the connection is idle: no part of a request has been
+    // received, and no response is pending or being written. Returns nullopt if
+    // it isn't.
+    std::optional<time_point> idle_since() const;
+
+    // Closes the connection immediately if it is idle or only waits for the
+    // caller to close it. Returns whether it did.
+    bool close_if_idle();
+
+    // Refuses the next request and closes the connection after that. To be
+    // called before start().
+    void refuse_request();
 
     // Returns whether a part of a request has been received that is not yet
     // passed to the handler.
@@ -124,6 +138,7 @@
     time_point write_start{};
     // No further request is accepted from this connection.
     bool last_request_read = false;
+    bool refusing = false;
     bool open = true;
 };
 
--- a/src/proxy/front_listener.cpp
+++ b/src/proxy/front_listener.cpp
@@ -2,6 +2,7 @@
 #include <parsleyplank/proxy/front_listener.hpp>
 
 #include <algorithm>
+#include <vector>
 
 namespace parsleyplank::proxy
 {
@@ -17,6 +18,15 @@
 constexpr int accept_backlog = 128;
 // Delay after a failed accept, e.g. when no file descriptor is free.
 constexpr milliseconds accept_retry_delay{50};
+// Divisors of the maximum number of connections that give the number of idle
+// ones that are closed at a time, and of those beyond the maximum whose
+// requests are read to refuse them.
+constexpr std::size_t idle_part = 16;
+constexpr std::size_t refused_part = 16;
+// After a search that closed no more connections than this, the next one waits:
+// it looks at all connections.
+constexpr std::size_t max_useless_search = 8;
+constexpr milliseconds idle_search_interval{100};
 
 tcp::endpoint to_endpoint(const steering::server_endpoint& listen_endpoint)
 {
@@ -126,14 +136,62 @@
     return ec == asio::error::would_block ? error_code() : ec;
 }
 
+void front_listener::close_longest_idle()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now < next_idle_search)
+        return;
+    struct idle_connection
+    {
+        time_point since;
+        std::shared_ptr<front_connection> connection;
+    };
+    std::vector<idle_connection> idle;
+    for (const auto& it : connections)
+    {
+        const auto connection = it.lock();
+        const auto since = connection ? connection->idle_since() : std::nullopt;
+        if (since)
+            idle.push_back({*since, connection});
+    }
+    const auto part =
+        1 + std::min(idle.size(), shared->options.max_connections) / idle_part;
+    const auto batch = std::min(idle.size(), part);
+    std::ranges::nth_element(idle, idle.begin() + static_cast<long>(batch), {},
+                             &idle_connection::since);
+    const auto closed = std::ranges::count_if(
+        idle.begin(), idle.begin() + static_cast<long>(batch),
+        [](const idle_connection& it)
+        { return it.connection->close_if_idle(); });
+    totals.closed_for_others += static_cast<std::uint64_t>(closed);
+    if (static_cast<std::size_t>(closed) <= max_useless_search)
+        next_idle_search = now + idle_search_interval;
+    LOG4CPLUS_INFO(log, "event=idle_connections_closed count="
+                            << closed
+                            << " connections=" << shared->open_connections);
+}
+
 void front_listener::start_connection(tcp::socket socket)
 {
+    const auto limit = shared->options.max_connections;
+    if (shared->open_connections >= limit)
+        close_longest_idle();
+    const auto excess =
+        shared->open_connections - std::min(limit, shared->open_connections);
+    const bool refused = shared->open_connections >= limit;
+    if (refused)
+        ++totals.refused;
+    // The caller learns from the close that its request has not been read.
+    if (refused && excess >= 1 + limit / refused_part)
+        return;
     error_code ec;
     // If the option can't be set, responses are merely slower.
     socket.set_option(tcp::no_delay(true), ec);
     const auto connection =
         std::make_shared<front_connection>(std::move(socket), shared);
     connections.push_back(connection);
+    if (refused)
+        connection->refuse_request();
     connection->start();
 }
 
@@ -176,6 +234,7 @@
         record_accept(ec);
         if (ec)
         {
+            close_longest_idle();
             asio::steady_timer retry_timer(acceptor.get_executor(),
                                            accept_retry_delay);
             co_await retry_timer.async_wait(
--- a/src/proxy/front_listener.hpp
+++ b/src/proxy/front_listener.hpp
@@ -18,6 +18,10 @@
 {
     // How often a connection could not be accepted.
     std::uint64_t accept_failures = 0;
+    // Idle connections that were closed for new ones.
+    std::uint64_t closed_for_others = 0;
+    // Connections that were refused because none was idle.
+    std::uint64_t refused = 0;
 };
 
 class front_listener
@@ -56,7 +60,10 @@
 
 private:
     asio::awaitable<void> accept_connections();
+    // Starts a new connection, or closes it if there are far too many.
     void start_connection(tcp::socket socket);
+    // Closes a part of the connections, those that have been idle longest.
+    void close_longest_idle();
     // Counts failed accepts and logs the start and the end of a series of them.
     void record_accept(const error_code& ec);
     // Returns whether the event loop is too late to accept more than one
@@ -75,6 +82,8 @@
     std::shared_ptr<front_shared> shared;
     std::list<std::weak_ptr<front_connection>> connections;
     connection_counts totals;
+    // Earliest time of the next search for idle connections.
+    time_point next_idle_search{};
     // Time of the first of a series of failed accepts; empty if the last one
     // succeeded.
     std::optional<time_point> failing_since;
