Notice callers that leave while reading from them is paused

With 16 requests of one connection pending, nothing is read from it, so that a close was noticed only when a response was written: servers worked on for a caller that had left. The check of the time limits, every 0.5 s, now asks the socket.

Test: proxy_connection_limits, a_caller_that_leaves_while_reading_is_paused_is_noticed, failed before.

--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -105,7 +105,7 @@
         cancel(*it);
 }
 
-bool front_connection::close_if_expired(time_point at)
+bool front_connection::close_if_ended(time_point at)
 {
     if (!open)
         return false;
@@ -123,7 +123,8 @@
         (current_activity == activity::closing && idle &&
          age > shared->options.close_timeout) ||
         (writing && at - write_start > shared->options.write_timeout);
-    if (expired)
+    // No read is in progress that would notice the close.
+    if (expired || (reading_paused && is_closed_by_peer(socket)))
         handle_disconnect();
     return open;
 }
@@ -282,8 +283,10 @@
         while (open && pending.size() >= shared->options.max_pipelined_requests)
         {
             error_code ec;
+            reading_paused = true;
             co_await reader_signal.async_wait(store_error(ec));
         }
+        reading_paused = false;
     }
     if (open && last_request_read)
         co_await read_until_closed();
--- a/src/proxy/front_connection.hpp
+++ b/src/proxy/front_connection.hpp
@@ -72,8 +72,9 @@
     void start();
 
     // Closes the connection and cancels its requests if a time limit is
-    // exceeded. Returns whether the connection is still open.
-    bool close_if_expired(time_point now);
+    // exceeded, or if the caller has closed it while reading is paused. Returns
+    // whether the connection is still open.
+    bool close_if_ended(time_point now);
 
     // Returns since when the connection is idle: no part of a request has been
     // received, and no response is pending or being written. Returns nullopt if
@@ -139,6 +140,8 @@
     // No further request is accepted from this connection.
     bool last_request_read = false;
     bool refusing = false;
+    // Too many requests are pending to read further ones.
+    bool reading_paused = false;
     bool open = true;
 };
 
--- a/src/proxy/front_listener.cpp
+++ b/src/proxy/front_listener.cpp
@@ -250,7 +250,7 @@
         [&](const std::weak_ptr<front_connection>& it)
         {
             const auto connection = it.lock();
-            return !connection || !connection->close_if_expired(now);
+            return !connection || !connection->close_if_ended(now);
         });
     sweep_timer.expires_after(sweep_interval);
     sweep_timer.async_wait(
--- a/test/failure/proxy_connection_limits.cpp
+++ b/test/failure/proxy_connection_limits.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(a_request_beyond_the_limit_is_refused_at_once);
     CPPUNIT_TEST(a_connection_far_beyond_the_limit_is_closed);
     CPPUNIT_TEST(a_late_event_loop_accepts_one_connection_a_turn);
+    CPPUNIT_TEST(a_caller_that_leaves_while_reading_is_paused_is_noticed);
     CPPUNIT_TEST_SUITE_END();
 
     using callers = std::vector<std::unique_ptr<raw_connection>>;
@@ -173,6 +174,27 @@
             handled, [this](const proxy::exchange_ptr& it)
             { return it->connection_start > first_handled; }));
     }
+
+    // Guards against work for a caller that left while so many of its requests
+    // were pending that none was read.
+    void a_caller_that_leaves_while_reading_is_paused_is_noticed()
+    {
+        constexpr milliseconds beyond_one_sweep{1'000};
+        responding = false;
+        proxy::front_options options;
+        options.max_pipelined_requests = 2;
+        listen(std::move(options));
+        raw_connection caller(port);
+        for (int i = 0; i < 4; ++i)
+            caller.send(get_request);
+        react();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), handled.size());
+        caller.close();
+        react(beyond_one_sweep);
+        CPPUNIT_ASSERT(
+            std::ranges::all_of(handled, &proxy::exchange::cancelled));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), listener->open_requests());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(proxy_connection_limits);
