Close idle callers on a failed accept only if descriptors are lacking

A connection that its caller has aborted also fails to be accepted; that is no reason to close idle ones or to pause. Which errors mean a lack of resources is told in one place for accepted and for opened connections.

--- a/src/proxy/front_listener.cpp
+++ b/src/proxy/front_listener.cpp
@@ -1,5 +1,6 @@
 #include <parsleyplank/core/error.hpp>
 #include <parsleyplank/proxy/front_listener.hpp>
+#include <parsleyplank/proxy/socket_state.hpp>
 
 #include <algorithm>
 #include <vector>
@@ -132,6 +133,9 @@
         acceptor.accept(socket, ec);
         if (!ec)
             start_connection(std::move(socket));
+        // The caller left; others may wait behind it.
+        if (ec == asio::error::connection_aborted)
+            ec = {};
     }
     return ec == asio::error::would_block ? error_code() : ec;
 }
@@ -234,7 +238,8 @@
         record_accept(ec);
         if (ec)
         {
-            close_longest_idle();
+            if (lacks_resources(ec))
+                close_longest_idle();
             asio::steady_timer retry_timer(acceptor.get_executor(),
                                            accept_retry_delay);
             co_await retry_timer.async_wait(
--- a/src/proxy/socket_state.cpp
+++ b/src/proxy/socket_state.cpp
@@ -3,6 +3,8 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 
 namespace parsleyplank::proxy
@@ -46,4 +48,12 @@
     return ::poll(&it, 1, 0) > 0;
 }
 
+bool lacks_resources(const error_code& ec)
+{
+    constexpr std::array local_errors{EMFILE, ENFILE, ENOBUFS, ENOMEM,
+                                      EADDRNOTAVAIL};
+    return ec.category() == boost::system::system_category() &&
+           std::ranges::find(local_errors, ec.value()) != local_errors.end();
+}
+
 } // namespace parsleyplank::proxy
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -2,8 +2,6 @@
 #include <parsleyplank/proxy/upstream_call.hpp>
 
 #include <algorithm>
-#include <array>
-#include <cerrno>
 #include <charconv>
 
 namespace parsleyplank::proxy
@@ -45,16 +43,6 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now() - from);
 }
 
-// Returns whether a socket could not be opened or connected because of a limit
-// of this process or machine.
-bool lacks_resources(const error_code& ec)
-{
-    constexpr std::array local_errors{EMFILE, ENFILE, ENOBUFS, ENOMEM,
-                                      EADDRNOTAVAIL};
-    return ec.category() == boost::system::system_category() &&
-           std::ranges::find(local_errors, ec.value()) != local_errors.end();
-}
-
 void close(upstream_connection& connection)
 {
     error_code ec;
