Report how often accepting is postponed

Since the event loop's delay decides how many connections are accepted, the delay alone (logged from 100 ms on) does not tell that callers wait from 10 ms on.

--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -262,19 +262,23 @@
         std::chrono::duration<double>(delay).count());
     set("caller_connections", front.open_connections());
     set("accept_failures", counts.accept_failures);
+    set("postponed_accepts", counts.postponed_accepts);
     set("idle_callers_closed", counts.closed_for_others);
     set("callers_refused", counts.refused);
     const auto accept_failing = front.accept_failing_time();
     if (delay >= reported_delay || accept_failing >= reported_delay ||
-        counts.refused > reported_refused)
+        counts.refused > reported.refused ||
+        counts.postponed_accepts > reported.postponed_accepts)
         LOG4CPLUS_WARN(
             context.log,
             "event=callers_wait event_loop_ms="
                 << std::chrono::duration_cast<milliseconds>(delay).count()
                 << " accept_failing_ms=" << accept_failing.count()
-                << " refused=" << counts.refused - reported_refused
+                << " postponed_accepts="
+                << counts.postponed_accepts - reported.postponed_accepts
+                << " refused=" << counts.refused - reported.refused
                 << " connections=" << front.open_connections());
-    reported_refused = counts.refused;
+    reported = counts;
 }
 
 void traffic_plane::sweep()
--- a/src/edge/traffic_plane.hpp
+++ b/src/edge/traffic_plane.hpp
@@ -65,8 +65,8 @@
     token_exchange token_peers;
     flow_context context;
     proxy::asio::steady_timer sweep_timer;
-    // Number of refused connections when it was last reported.
-    std::uint64_t reported_refused = 0;
+    // What was last reported of the connections of callers.
+    proxy::connection_counts reported;
     std::vector<std::unique_ptr<proxy::front_listener>> listeners;
     std::thread thread;
 };
--- a/src/proxy/front_listener.cpp
+++ b/src/proxy/front_listener.cpp
@@ -137,6 +137,8 @@
         if (ec == asio::error::connection_aborted)
             ec = {};
     }
+    if (!ec)
+        ++totals.postponed_accepts;
     return ec == asio::error::would_block ? error_code() : ec;
 }
 
--- a/src/proxy/front_listener.hpp
+++ b/src/proxy/front_listener.hpp
@@ -18,6 +18,9 @@
 {
     // How often a connection could not be accepted.
     std::uint64_t accept_failures = 0;
+    // How often connections were possibly left waiting because the event loop
+    // was late.
+    std::uint64_t postponed_accepts = 0;
     // Idle connections that were closed for new ones.
     std::uint64_t closed_for_others = 0;
     // Connections that were refused because none was idle.
--- a/test/failure/proxy_connection_limits.cpp
+++ b/test/failure/proxy_connection_limits.cpp
@@ -173,6 +173,7 @@
         CPPUNIT_ASSERT(std::ranges::any_of(
             handled, [this](const proxy::exchange_ptr& it)
             { return it->connection_start > first_handled; }));
+        CPPUNIT_ASSERT(listener->counts().postponed_accepts > 0);
     }
 
     // Guards against work for a caller that left while so many of its requests
