Let the tests of connections wait for what they assert

A fixed 50 ms is too short beside load, and a test that asserts that nothing is handled could pass without the listener having run: the next caller's request must now be the first to be handled.

--- a/test/failure/proxy_connection_limits.cpp
+++ b/test/failure/proxy_connection_limits.cpp
@@ -8,6 +8,7 @@
 #include <support/edge_fixture.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -56,9 +57,19 @@
     }
 
     // Lets the listener react to what has arrived.
-    void react(milliseconds span = milliseconds(50))
+    void react()
     {
-        io->run_for(span);
+        io->run_for(milliseconds(50));
+    }
+
+    // Lets the listener react until the condition holds.
+    void react_until(const std::function<bool()>& condition)
+    {
+        const auto bound =
+            std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!condition() && std::chrono::steady_clock::now() < bound)
+            io->run_for(milliseconds(1));
+        CPPUNIT_ASSERT(condition());
     }
 
     void handle(const proxy::exchange_ptr& ex)
@@ -70,7 +81,8 @@
             proxy::respond(*ex, proxy::make_response(200, "ok"));
     }
 
-    // Opens connections, each after the one before has sent a request.
+    // Opens connections with a request each, each after the request of the one
+    // before has been handled and, if it is, responded to.
     callers open_callers(std::size_t number)
     {
         callers opened;
@@ -78,7 +90,9 @@
         {
             opened.push_back(std::make_unique<raw_connection>(port));
             opened.back()->send(get_request);
-            react(milliseconds(20));
+            react_until([&] { return handled.size() == opened.size(); });
+            if (responding)
+                react_until([&] { return listener->open_requests() == 0; });
         }
         return opened;
     }
@@ -112,7 +126,8 @@
             CPPUNIT_ASSERT_EQUAL(200, it->receive().status);
         CPPUNIT_ASSERT_EQUAL(std::string(), opened.front()->receive_to_end());
         opened[1]->send(get_request);
-        react();
+        react_until([this] { return handled.size() == limit + 2; });
+        react_until([this] { return listener->open_requests() == 0; });
         CPPUNIT_ASSERT_EQUAL(200, opened[1]->receive().status);
     }
 
@@ -122,9 +137,13 @@
         constexpr std::size_t limit = 4;
         responding = false;
         limit_connections(limit);
-        const auto opened = open_callers(limit + 1);
+        const auto opened = open_callers(limit);
+        raw_connection refused(port);
+        refused.send(get_request);
+        react_until([this] { return listener->counts().refused == 1; });
+        react_until([this] { return listener->open_requests() == limit; });
         CPPUNIT_ASSERT_EQUAL(limit, handled.size());
-        const auto response = opened.back()->receive();
+        const auto response = refused.receive();
         CPPUNIT_ASSERT_EQUAL(503, response.status);
         CPPUNIT_ASSERT(response.has_line("Connection: close"));
         CPPUNIT_ASSERT(response.head.find("Retry-After: ") !=
@@ -132,7 +151,7 @@
         std::ranges::for_each(
             handled, [](const proxy::exchange_ptr& it)
             { proxy::respond(*it, proxy::make_response(200, "ok")); });
-        react();
+        react_until([this] { return listener->open_requests() == 0; });
         CPPUNIT_ASSERT_EQUAL(200, opened.front()->receive().status);
     }
 
@@ -146,12 +165,10 @@
         for (std::size_t i = 0; i < refused + 1; ++i)
         {
             opened.push_back(std::make_unique<raw_connection>(port));
-            react();
+            react_until([&] { return listener->counts().refused == i + 1; });
         }
         CPPUNIT_ASSERT_EQUAL(std::string(), opened.back()->receive_to_end());
         CPPUNIT_ASSERT_EQUAL(limit + refused, listener->open_connections());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(refused + 1),
-                             listener->counts().refused);
     }
 
     // Guards against a crowd of new callers that delays the requests of all.
@@ -168,8 +185,7 @@
             opened.push_back(std::make_unique<raw_connection>(port));
             opened.back()->send(get_request);
         }
-        react(milliseconds(200));
-        CPPUNIT_ASSERT_EQUAL(crowd, handled.size());
+        react_until([this] { return handled.size() == crowd; });
         CPPUNIT_ASSERT(std::ranges::any_of(
             handled, [this](const proxy::exchange_ptr& it)
             { return it->connection_start > first_handled; }));
@@ -180,7 +196,6 @@
     // were pending that none was read.
     void a_caller_that_leaves_while_reading_is_paused_is_noticed()
     {
-        constexpr milliseconds beyond_one_sweep{1'000};
         responding = false;
         proxy::front_options options;
         options.max_pipelined_requests = 2;
@@ -188,13 +203,11 @@
         raw_connection caller(port);
         for (int i = 0; i < 4; ++i)
             caller.send(get_request);
-        react();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), handled.size());
+        react_until([this] { return handled.size() == 2; });
         caller.close();
-        react(beyond_one_sweep);
+        react_until([this] { return listener->open_requests() == 0; });
         CPPUNIT_ASSERT(
             std::ranges::all_of(handled, &proxy::exchange::cancelled));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), listener->open_requests());
     }
 };
 
--- a/test/failure/proxy_departed_callers.cpp
+++ b/test/failure/proxy_departed_callers.cpp
@@ -9,6 +9,7 @@
 #include <support/edge_fixture.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -42,6 +43,16 @@
         io->run_for(milliseconds(50));
     }
 
+    // Lets the listener react until the condition holds.
+    void react_until(const std::function<bool()>& condition)
+    {
+        const auto bound =
+            std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        while (!condition() && std::chrono::steady_clock::now() < bound)
+            io->run_for(milliseconds(1));
+        CPPUNIT_ASSERT(condition());
+    }
+
     void handle(const proxy::exchange_ptr& ex)
     {
         if (handled.empty())
@@ -50,6 +61,20 @@
         proxy::respond(*ex, proxy::make_response(200, "ok"));
     }
 
+    // Asserts that the first request to be handled is that of a caller that
+    // comes now.
+    void assert_next_caller_is_first()
+    {
+        raw_connection next(port);
+        next.send("GET /next HTTP/1.1\r\nHost: a.example\r\n\r\n");
+        react_until([this] { return !handled.empty(); });
+        react();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), handled.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), listener->open_connections());
+        CPPUNIT_ASSERT_EQUAL(std::string("/next"),
+                             std::string(handled.front()->request.target()));
+    }
+
 public:
     void setUp() override
     {
@@ -76,9 +101,7 @@
         raw_connection caller(port);
         caller.send(get_request);
         caller.close();
-        react();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), handled.size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), listener->open_connections());
+        assert_next_caller_is_first();
     }
 
     // Guards against work for callers that gave up while their requests lay in
@@ -89,8 +112,7 @@
         react();
         caller.send(get_request);
         caller.close();
-        react();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), handled.size());
+        assert_next_caller_is_first();
     }
 
     // Guards against work for callers whose close stands behind further
@@ -102,16 +124,15 @@
         for (int i = 0; i < beyond_one_read; ++i)
             caller.send(get_request);
         caller.close();
-        react();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(0), handled.size());
+        assert_next_caller_is_first();
     }
 
     void a_request_of_a_caller_that_stays_is_handled()
     {
         raw_connection caller(port);
         caller.send(get_request + get_request);
-        react();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), handled.size());
+        react_until([this] { return handled.size() == 2; });
+        react_until([this] { return listener->open_requests() == 0; });
         CPPUNIT_ASSERT_EQUAL(200, caller.receive().status);
         CPPUNIT_ASSERT_EQUAL(200, caller.receive().status);
     }
@@ -127,8 +148,7 @@
             callers.push_back(std::make_unique<raw_connection>(port));
             callers.back()->send(get_request);
         }
-        react();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(crowd), handled.size());
+        react_until([this] { return handled.size() == crowd; });
         CPPUNIT_ASSERT(std::ranges::all_of(
             handled, [this](const proxy::exchange_ptr& it)
             { return it->connection_start <= first_handled; }));
