--- a/test/failure/proxy_departed_callers.cpp
+++ b/test/failure/proxy_departed_callers.cpp
@@ -3,13 +3,10 @@
 // others. The listener's thread is the test's own, so that what callers do
 // falls exactly between two events.
 
-#include <parsleyplank/proxy/front_listener.hpp>
-
 #include <cppunit/extensions/HelperMacros.h>
-#include <support/edge_fixture.hpp>
+#include <support/listener_fixture.hpp>
 
 #include <algorithm>
-#include <functional>
 #include <memory>
 #include <vector>
 
@@ -19,8 +16,6 @@
 namespace
 {
 
-const std::string get_request = "GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n";
-
 class proxy_departed_callers : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(proxy_departed_callers);
@@ -31,74 +26,40 @@
     CPPUNIT_TEST(waiting_connections_are_accepted_before_requests_are_handled);
     CPPUNIT_TEST_SUITE_END();
 
-    std::unique_ptr<proxy::asio::io_context> io;
-    std::unique_ptr<proxy::front_listener> listener;
-    std::uint16_t port = 0;
-    std::vector<proxy::exchange_ptr> handled;
-    time_point first_handled;
-
-    // Lets the listener react to what has arrived.
-    void react()
-    {
-        io->run_for(milliseconds(50));
-    }
-
-    // Lets the listener react until the condition holds.
-    void react_until(const std::function<bool()>& condition)
-    {
-        const auto bound =
-            std::chrono::steady_clock::now() + std::chrono::seconds(20);
-        while (!condition() && std::chrono::steady_clock::now() < bound)
-            io->run_for(milliseconds(1));
-        CPPUNIT_ASSERT(condition());
-    }
-
-    void handle(const proxy::exchange_ptr& ex)
-    {
-        if (handled.empty())
-            first_handled = std::chrono::steady_clock::now();
-        handled.push_back(ex);
-        proxy::respond(*ex, proxy::make_response(200, "ok"));
-    }
+    std::unique_ptr<listener_fixture> front;
 
     // Asserts that the first request to be handled is that of a caller that
     // comes now.
     void assert_next_caller_is_first()
     {
-        raw_connection next(port);
+        raw_connection next(front->port);
         next.send("GET /next HTTP/1.1\r\nHost: a.example\r\n\r\n");
-        react_until([this] { return !handled.empty(); });
-        react();
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), handled.size());
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), listener->open_connections());
-        CPPUNIT_ASSERT_EQUAL(std::string("/next"),
-                             std::string(handled.front()->request.target()));
+        front->react_until([this] { return !front->handled.empty(); });
+        front->react();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), front->handled.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             front->listener.open_connections());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("/next"),
+            std::string(front->handled.front()->request.target()));
     }
 
 public:
     void setUp() override
     {
-        io = std::make_unique<proxy::asio::io_context>(1);
-        port = free_port();
-        listener = std::make_unique<proxy::front_listener>(
-            *io, steering::server_endpoint{"127.0.0.1", port},
-            proxy::front_options{},
-            [this](const proxy::exchange_ptr& ex) { handle(ex); });
-        react();
+        front = std::make_unique<listener_fixture>();
     }
 
     void tearDown() override
     {
-        listener.reset();
-        io.reset();
-        handled.clear();
+        front.reset();
     }
 
     // Guards against work for callers that gave up while their connections
     // waited to be accepted.
     void a_request_whose_caller_left_the_listen_queue_is_not_handled()
     {
-        raw_connection caller(port);
+        raw_connection caller(front->port);
         caller.send(get_request);
         caller.close();
         assert_next_caller_is_first();
@@ -108,8 +69,8 @@
     // the receive buffer of an accepted connection.
     void a_request_whose_caller_left_before_it_was_read_is_not_handled()
     {
-        raw_connection caller(port);
-        react();
+        raw_connection caller(front->port);
+        front->react();
         caller.send(get_request);
         caller.close();
         assert_next_caller_is_first();
@@ -120,7 +81,7 @@
     void pipelined_requests_of_a_caller_that_left_are_not_handled()
     {
         constexpr int beyond_one_read = 200;
-        raw_connection caller(port);
+        raw_connection caller(front->port);
         for (int i = 0; i < beyond_one_read; ++i)
             caller.send(get_request);
         caller.close();
@@ -129,10 +90,10 @@
 
     void a_request_of_a_caller_that_stays_is_handled()
     {
-        raw_connection caller(port);
+        raw_connection caller(front->port);
         caller.send(get_request + get_request);
-        react_until([this] { return handled.size() == 2; });
-        react_until([this] { return listener->open_requests() == 0; });
+        front->react_until([this] { return front->handled.size() == 2; });
+        front->respond_to_all();
         CPPUNIT_ASSERT_EQUAL(200, caller.receive().status);
         CPPUNIT_ASSERT_EQUAL(200, caller.receive().status);
     }
@@ -145,13 +106,13 @@
         std::vector<std::unique_ptr<raw_connection>> callers;
         for (int i = 0; i < crowd; ++i)
         {
-            callers.push_back(std::make_unique<raw_connection>(port));
+            callers.push_back(std::make_unique<raw_connection>(front->port));
             callers.back()->send(get_request);
         }
-        react_until([this] { return handled.size() == crowd; });
+        front->react_until([this] { return front->handled.size() == crowd; });
         CPPUNIT_ASSERT(std::ranges::all_of(
-            handled, [this](const proxy::exchange_ptr& it)
-            { return it->connection_start <= first_handled; }));
+            front->handled, [this](const proxy::exchange_ptr& it)
+            { return it->connection_start <= front->first_handled; }));
     }
 };
 
