Log from whom a change of the store came and to how many peers it went

The logs could not tell a relay whose link is full from an instance that is late itself: no line said from whom a change came, and none said how many peers it was passed on to, with how many bytes.

event=changes_received has the source, the entries, the peers that waited and the bytes of their answers; event=watch_source says whom an instance follows. One line for each batch and each change of the choice; no decision changes. Run: edge_restart and edge_change_relay, passed.

--- a/src/edge/change_relay.cpp
+++ b/src/edge/change_relay.cpp
@@ -22,7 +22,8 @@
 constexpr unsigned status_gone = 410;
 constexpr unsigned status_unavailable = 503;
 
-void answer(proxy::exchange& ex, const store::list_result& result)
+// Returns the number of bytes of the answer.
+std::size_t answer(proxy::exchange& ex, const store::list_result& result)
 {
     protocol::entries_response body;
     body.store_revision = result.store_revision;
@@ -31,7 +32,9 @@
         [](const store::entry& it) {
             return protocol::wire_entry{it.key, it.value, it.key_revision};
         });
-    proxy::respond(ex, proxy::make_response(status_ok, pack_value(body)));
+    const auto bytes = pack_value(body);
+    proxy::respond(ex, proxy::make_response(status_ok, bytes));
+    return bytes.size();
 }
 
 } // namespace
@@ -49,11 +52,11 @@
     answer_pending_watches();
 }
 
-void change_relay::apply_changes(const store::list_result& changes)
+relayed_changes change_relay::apply_changes(const store::list_result& changes)
 {
     current_revision = changes.store_revision;
     if (changes.entries.empty())
-        return;
+        return {};
     for (const auto& it : changes.entries)
         if (it.key_revision == revision(0))
             keys.erase(it.key);
@@ -65,7 +68,7 @@
         oldest_revision = recent_batches.front().store_revision;
         recent_batches.pop_front();
     }
-    answer_pending_watches();
+    return answer_pending_watches();
 }
 
 store::list_result change_relay::changes_after(const std::string& prefix,
@@ -136,8 +139,9 @@
          now + milliseconds(std::min(request.wait_ms, max_wait_ms))});
 }
 
-void change_relay::answer_pending_watches()
+relayed_changes change_relay::answer_pending_watches()
 {
+    relayed_changes relayed;
     std::erase_if(pending_watches,
                   [&](const pending_watch& it)
                   {
@@ -153,9 +157,11 @@
                       const auto changes = changes_after(it.prefix, it.after);
                       if (changes.entries.empty())
                           return false;
-                      answer(*it.ex, changes);
+                      ++relayed.watches;
+                      relayed.bytes += answer(*it.ex, changes);
                       return true;
                   });
+    return relayed;
 }
 
 void change_relay::expire_watches(time_point now)
--- a/src/edge/change_relay.hpp
+++ b/src/edge/change_relay.hpp
@@ -17,6 +17,15 @@
 namespace parsleyplank::edge
 {
 
+// What a batch of changes was sent to.
+struct relayed_changes
+{
+    // Watches of peers that the batch has answered.
+    std::size_t watches = 0;
+    // Bytes of these answers together, without their headers.
+    std::size_t bytes = 0;
+};
+
 class change_relay
 {
 public:
@@ -26,7 +35,7 @@
 
     // Applies a batch of changes and answers the watches that it concerns. An
     // entry with key revision 0 is a removal.
-    void apply_changes(const store::list_result& changes);
+    relayed_changes apply_changes(const store::list_result& changes);
 
     // Answers a list request at once, and a watch when a key under its prefix
     // has changed or its wait time has passed. Requests before the first
@@ -50,7 +59,7 @@
     void serve_watch(const proxy::exchange_ptr& ex, time_point now);
     store::list_result changes_after(const std::string& prefix,
                                      revision after) const;
-    void answer_pending_watches();
+    relayed_changes answer_pending_watches();
 
     std::map<std::string, store::entry> keys;
     revision current_revision;
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -107,9 +107,10 @@
         feed_handlers{
             [this, post](store::list_result all)
             { post([this, all = std::move(all)] { apply_listing(all); }); },
-            [this, post](store::list_result changes) {
-                post([this, changes = std::move(changes)]
-                     { apply_changes(changes); });
+            [this, post](store::list_result changes, const std::string& source)
+            {
+                post([this, changes = std::move(changes), source]
+                     { apply_changes(changes, source); });
             },
             [this, post] { post([this] { note_store_response(); }); },
             [this, post](const std::string& problem)
@@ -191,6 +192,13 @@
     const auto* relay_peer = choose_relay_peer(
         fleet, live,
         {self.region, store_reachable(), options.min_relay_fleet_size});
+    const auto selected = relay_peer == nullptr
+                              ? std::nullopt
+                              : std::optional(relay_peer->record.id);
+    if (std::exchange(followed_peer, selected) != selected)
+        LOG4CPLUS_INFO(log, "event=watch_source peer="
+                                << (selected ? selected->value : "-")
+                                << " live_peers=" << live.size());
     if (relay_peer == nullptr)
         feed->watch_peer(std::nullopt);
     else
@@ -331,14 +339,22 @@
     publish();
 }
 
-void control_plane::apply_changes(const store::list_result& changes)
+void control_plane::apply_changes(const store::list_result& changes,
+                                  const std::string& source)
 {
     // A listing may already include newer changes than this watch.
     if (changes.store_revision < applied_revision)
         return;
     applied_revision = changes.store_revision;
     note_revision(applied_revision);
-    relay.apply_changes(changes);
+    const auto relayed = relay.apply_changes(changes);
+    if (!changes.entries.empty())
+        LOG4CPLUS_INFO(log, "event=changes_received source="
+                                << source
+                                << " revision=" << changes.store_revision.value
+                                << " entries=" << changes.entries.size()
+                                << " relayed_to=" << relayed.watches
+                                << " relayed_bytes=" << relayed.bytes);
     const auto is_removed_server = [&](const store::entry& it)
     {
         return it.key_revision == revision(0) &&
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -95,7 +95,9 @@
 private:
     // Application of store listings and changes.
     void apply_listing(const store::list_result& all);
-    void apply_changes(const store::list_result& changes);
+    // The source is "store" or the address of a relay peer.
+    void apply_changes(const store::list_result& changes,
+                       const std::string& source);
     void apply_entry(const store::entry& it);
     void apply_removal(const std::string& key);
     void apply_configuration(const store::entry& it);
@@ -192,6 +194,8 @@
     bool publish_pending = false;
 
     change_relay relay;
+    // Peer from which this instance gets the changes of the store.
+    std::optional<instance_id> followed_peer;
     std::unique_ptr<proxy::front_listener> relay_listener;
 
     state_confirmation confirmation;
--- a/src/edge/store_feed.cpp
+++ b/src/edge/store_feed.cpp
@@ -6,6 +6,16 @@
 namespace parsleyplank::edge
 {
 
+namespace
+{
+
+std::string format_endpoint(const steering::server_endpoint& it)
+{
+    return it.address + ":" + std::to_string(it.port);
+}
+
+} // namespace
+
 store_feed::store_feed(std::unique_ptr<store::lease_store> from,
                        std::string watched, feed_options chosen,
                        feed_handlers receivers)
@@ -88,13 +98,14 @@
         auto changes =
             source->watch(prefix, known_revision, options.watch_wait);
         handlers.store_answered();
-        deliver_changes(std::move(changes));
+        deliver_changes(std::move(changes), "store");
         return;
     }
     try
     {
         deliver_changes(
-            relay->watch(prefix, known_revision, options.peer_watch_wait));
+            relay->watch(prefix, known_revision, options.peer_watch_wait),
+            format_endpoint(*connected_peer));
     }
     catch (const error& ec)
     {
@@ -104,11 +115,12 @@
     }
 }
 
-void store_feed::deliver_changes(store::list_result changes)
+void store_feed::deliver_changes(store::list_result changes,
+                                 const std::string& source)
 {
     known_revision = std::max(known_revision, changes.store_revision);
     const bool any = !changes.entries.empty();
-    handlers.changed(std::move(changes));
+    handlers.changed(std::move(changes), source);
     if (any)
         std::this_thread::sleep_for(options.batch_delay);
 }
--- a/src/edge/store_feed.hpp
+++ b/src/edge/store_feed.hpp
@@ -43,8 +43,9 @@
 {
     // Receives all keys under the watched prefix.
     std::function<void(store::list_result)> listed;
-    // Receives the changed keys. An entry with key revision 0 is a removal.
-    std::function<void(store::list_result)> changed;
+    // Receives the changed keys and from whom they come: "store" or the address
+    // of a peer. An entry with key revision 0 is a removal.
+    std::function<void(store::list_result, const std::string& source)> changed;
     // Called after each answer of the store itself, not of a peer.
     std::function<void()> store_answered;
     // Called with the error message after a failed call to the store.
@@ -73,7 +74,7 @@
     void run();
     void list();
     void watch();
-    void deliver_changes(store::list_result changes);
+    void deliver_changes(store::list_result changes, const std::string& source);
     // Returns a client for the selected peer, or nullptr if the store is to be
     // watched.
     store::kv_store* selected_peer();
--- a/test/failure/edge_restart.cpp
+++ b/test/failure/edge_restart.cpp
@@ -110,13 +110,13 @@
         feed_options options;
         options.retry_delay = milliseconds(1);
         options.peer_watch_wait = milliseconds(1);
-        store_feed feed(std::make_unique<switched_store>(reachable), "",
-                        options,
-                        {[&](const store::list_result&) { ++listings; },
-                         [&](const store::list_result&) { ++changes; }, [] {},
-                         [&](const std::string&) { ++failures; },
-                         [](const std::string&) {
-                         }});
+        store_feed feed(
+            std::make_unique<switched_store>(reachable), "", options,
+            {[&](const store::list_result&) { ++listings; },
+             [&](const store::list_result&, const std::string&) { ++changes; },
+             [] {}, [&](const std::string&) { ++failures; },
+             [](const std::string&) {
+             }});
         feed.watch_peer(steering::server_endpoint{"127.0.0.1", peer.port()});
         CPPUNIT_ASSERT(eventually([&] { return failures > 20; }));
         CPPUNIT_ASSERT_EQUAL(0, asked_peer.load());
