Let a new instance and its peers hear of each other at once

Seen: with a digest every few seconds, an instance that joined knew nothing of the others but their registrations, and so watched the store itself until their next digests.

Cause: an instance announces itself once, when it sees its own registration. Instances that register later get nothing, and those that see the registration after the announcement drop it as one of an unknown sender.

Now a digest of an unknown sender is kept until its registration is seen (512 at most, for the contact timeout), and an instance sends its last digest to peers that register after it. Each ordered pair exchanges one message, as with any digest; a joining instance receives one from each peer.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -465,7 +465,8 @@
     // of each other, all instances of a large fleet watch the store.
     if (record == self && !std::exchange(registration_seen, true))
         last_digest = {};
-    put_member(fleet, record, now());
+    if (put_member(fleet, record, now()))
+        new_peers.insert(record.id);
 }
 
 void control_plane::apply_removal(const std::string& key)
@@ -609,7 +610,7 @@
     }
 }
 
-void control_plane::send_digests(const traffic_report& report)
+member_digest control_plane::make_digest(const traffic_report& report)
 {
     member_digest digest{self.id,
                          self.started_ms,
@@ -639,17 +640,35 @@
                                            : it->second,
                                        rollout.fault.has_value()});
     }
-    const auto bytes = pack_value(digest);
+    return digest;
+}
+
+void control_plane::send_digests(const traffic_report& report)
+{
+    const auto bytes = pack_value(make_digest(report));
     for (const auto& [id, peer] : fleet.peers)
-    {
-        proxy::error_code ec;
-        const auto address =
-            proxy::asio::ip::make_address(peer.record.address, ec);
-        // A digest that can't be sent now is superseded by the next one.
-        if (!ec)
-            peer_socket.send_to(proxy::asio::buffer(bytes),
-                                {address, peer.record.peer_port}, 0, ec);
-    }
+        send_to(peer.record, bytes);
+    new_peers.clear();
+}
+
+void control_plane::greet_new_peers()
+{
+    // Until this instance is registered, the others don't know it.
+    if (new_peers.empty() || !registration_seen || drain_started_at)
+        return;
+    const auto bytes = pack_value(make_digest(last_report));
+    for (const auto& id : std::exchange(new_peers, {}))
+        if (const auto it = fleet.peers.find(id); it != fleet.peers.end())
+            send_to(it->second.record, bytes);
+}
+
+void control_plane::send_to(const member_record& peer, const std::string& bytes)
+{
+    proxy::error_code ec;
+    const auto address = proxy::asio::ip::make_address(peer.address, ec);
+    if (!ec)
+        peer_socket.send_to(proxy::asio::buffer(bytes),
+                            {address, peer.peer_port}, 0, ec);
 }
 
 milliseconds control_plane::current_digest_interval() const
@@ -741,7 +760,10 @@
     const auto due =
         last_digest + options.fleet.digest_interval - options.tick_interval / 2;
     if (now() < due)
+    {
+        greet_new_peers();
         return;
+    }
     last_digest = now();
     shared_demands = std::exchange(last_report, report).demands;
     send_digests(report);
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace parsleyplank::edge
 {
@@ -132,7 +133,13 @@
 
     // Exchange of digests with peers.
     void receive_digests();
+    member_digest make_digest(const traffic_report& report);
+    // Sends a digest to all peers.
     void send_digests(const traffic_report& report);
+    // Sends the last digest to the peers that were registered after it.
+    void greet_new_peers();
+    // A digest that can't be sent now is superseded by the next one.
+    void send_to(const member_record& peer, const std::string& bytes);
     void handle_datagram(std::size_t n);
 
     milliseconds current_digest_interval() const;
@@ -184,6 +191,9 @@
     // Report in the last digest, and the time when that was sent.
     traffic_report last_report;
     time_point last_digest{};
+    // Peers that were registered since then. They would know nothing of this
+    // instance until the next digest.
+    std::set<instance_id> new_peers;
     // Whether the store has listed the registration of this process.
     bool registration_seen = false;
     // Demands in the digest before the last one, which all peers have received
--- a/src/edge/fleet_view.cpp
+++ b/src/edge/fleet_view.cpp
@@ -16,6 +16,10 @@
 // first one is cut off from it.
 constexpr std::ptrdiff_t watchers_per_region = 2;
 
+// Maximum number of digests of unknown instances, which bounds the memory for
+// datagrams of any origin.
+constexpr std::size_t max_early_digests = 512;
+
 // Maximum number of limits in one digest.
 constexpr std::size_t max_limit_reports = 64;
 
@@ -92,15 +96,19 @@
         }
 }
 
-void put_member(fleet_view& fleet, const member_record& record, time_point now)
+bool put_member(fleet_view& fleet, const member_record& record, time_point now)
 {
     if (record.id == fleet.self)
-        return;
+        return false;
     auto& peer = fleet.peers[record.id];
-    if (peer.record.started_ms != record.started_ms)
+    const bool first = peer.record.started_ms != record.started_ms;
+    if (first)
         peer.registered_at = now;
     peer.record = record;
     peer.registered = true;
+    if (const auto early = fleet.early_digests.extract(record.id))
+        apply_digest(fleet, early.mapped().digest, early.mapped().received_at);
+    return first;
 }
 
 void remove_member(fleet_view& fleet, const instance_id& id)
@@ -115,7 +123,12 @@
 {
     const auto it = fleet.peers.find(digest.id);
     if (it == fleet.peers.end())
+    {
+        if (fleet.early_digests.size() < max_early_digests ||
+            fleet.early_digests.contains(digest.id))
+            fleet.early_digests[digest.id] = {digest, now};
         return false;
+    }
     auto& peer = it->second;
     const auto order = [](const member_digest& d)
     {
@@ -207,6 +220,9 @@
                       return !it.second.registered &&
                              !is_responsive(it.second, options, now);
                   });
+    std::erase_if(
+        fleet.early_digests, [&](const auto& it)
+        { return now - it.second.received_at > options.contact_timeout; });
 }
 
 } // namespace parsleyplank::edge
--- a/src/edge/fleet_view.hpp
+++ b/src/edge/fleet_view.hpp
@@ -144,24 +144,35 @@
     member_digest digest;
 };
 
+// A digest of an instance whose registration is not known yet.
+struct early_digest
+{
+    member_digest digest;
+    time_point received_at{};
+};
+
 // The other instances of the fleet as this instance sees them.
 struct fleet_view
 {
     instance_id self;
     std::map<instance_id, peer_state> peers;
+    // An instance announces itself as soon as it is registered, and others may
+    // hear that before they see the registration.
+    std::map<instance_id, early_digest> early_digests;
 };
 
-// Records the registration of an instance. Ignores that of this instance
-// itself.
-void put_member(fleet_view& fleet, const member_record& record, time_point now);
+// Records the registration of an instance, and the digest that was received
+// before it. Ignores that of this instance itself. Returns whether it is the
+// first registration of a process.
+bool put_member(fleet_view& fleet, const member_record& record, time_point now);
 
 // Records that the store no longer lists an instance. The peer stays in the
 // view until remove_expired_peers finds it unresponsive.
 void remove_member(fleet_view& fleet, const instance_id& id);
 
 // Stores a digest as the latest one of its sender. Returns false and ignores
-// the digest if the sender is not a known peer, or if the digest is not newer
-// than the stored one.
+// the digest if it is not newer than the stored one, and keeps it for
+// put_member if the sender is not a known peer.
 bool apply_digest(fleet_view& fleet, const member_digest& digest,
                   time_point now);
 
@@ -209,7 +220,8 @@
                                     const std::vector<const peer_state*>& live,
                                     const relay_criteria& criteria);
 
-// Removes the peers that are neither registered nor responsive.
+// Removes the peers that are neither registered nor responsive, and early
+// digests of the same age.
 void remove_expired_peers(fleet_view& fleet, const fleet_options& options,
                           time_point now);
 
--- a/test/failure/edge_rare_digests.cpp
+++ b/test/failure/edge_rare_digests.cpp
@@ -16,11 +16,26 @@
     CPPUNIT_TEST_SUITE(edge_rare_digests);
     CPPUNIT_TEST(registrations_are_renewed_before_they_expire);
     CPPUNIT_TEST(few_instances_watch_the_store_soon_after_the_start);
+    CPPUNIT_TEST(an_instance_that_joins_hears_of_the_others_at_once);
     CPPUNIT_TEST(an_instance_ends_within_its_grace_time);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<instance_fleet> fleet;
 
+    static constexpr std::size_t watchers_per_region = 2;
+
+    // Returns the number of instances that watch the store after each of them
+    // had the time to choose whom it watches.
+    std::size_t settled_watches() const
+    {
+        std::this_thread::sleep_for(fleet->options.tick_interval * 4);
+        // Ends the watches that wait; each instance then chooses anew.
+        write_key(*fleet->data, fleet->configuration_key(), "record");
+        std::this_thread::sleep_for(fleet->options.tick_interval);
+        const std::lock_guard lock(fleet->data->mutex);
+        return fleet->data->watches;
+    }
+
     std::size_t renewals() const
     {
         const std::lock_guard lock(fleet->data->mutex);
@@ -61,17 +76,18 @@
     // while all servers registered.
     void few_instances_watch_the_store_soon_after_the_start()
     {
-        constexpr std::size_t watchers_per_region = 2;
-        std::this_thread::sleep_for(fleet->options.tick_interval * 4);
-        const auto watches = [&]
-        {
-            const std::lock_guard lock(fleet->data->mutex);
-            return fleet->data->watches;
-        };
-        // Ends the watches that wait; each instance then chooses anew.
-        write_key(*fleet->data, fleet->configuration_key(), "record");
-        std::this_thread::sleep_for(fleet->options.tick_interval);
-        CPPUNIT_ASSERT_EQUAL(watchers_per_region, watches());
+        CPPUNIT_ASSERT_EQUAL(watchers_per_region, settled_watches());
+    }
+
+    // Failure scenario: an instance that joined knew nothing of the others but
+    // their registrations, and watched the store, until their next digests.
+    void an_instance_that_joins_hears_of_the_others_at_once()
+    {
+        CPPUNIT_ASSERT_EQUAL(watchers_per_region, settled_watches());
+        constexpr int joining = 4;
+        for (int n = 0; n < joining; ++n)
+            fleet->add_instance("oslo");
+        CPPUNIT_ASSERT_EQUAL(watchers_per_region, settled_watches());
     }
 
     // Failure scenario: a stopping instance looked only with each digest
