Spread the changes of the store over a tree with a bounded fan-out

Callers were served by a version of the configuration that had been replaced for more than the time allowed, in a region of 103 instances.

Cause: one instance of a region sent each change to all others of it. The class: work of one instance that grows with the size of the fleet.

Ruled out as the only cause: the processor.

Now edge/relay_tree places the instances of a region in levels: those that reach the store first, by the bandwidth of their links (new setting instance.link_mbps, part of the registration). Two watch the store; each level holds as many as the links of the level above serve in a quarter of a second, 4 to 16 an instance; an instance prefers one of the level above by weighted rendezvous hashing, so that the loss of a relay moves only the peers below it. A relay answers no more than twice its fan-out of waiting watches and refuses others with 503, whatever the peers believe. The feed has two peers to choose from: it moves to the second one when the first is lost, full or silent, stays with it, and watches the store only if both fail; before, all peers of a lost relay did. The relay encodes a batch once instead of once a peer.

Weighed and left: only strong machines as relays (the trial of the users' developers; one of them still serves a whole region, and a fleet of equal machines gains nothing), and a watch of the store by each instance (calls grow with instances x changes).

--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -36,6 +36,12 @@
     return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
 }
 
+double hash_fraction(std::uint64_t hash)
+{
+    constexpr double range = 18446744073709551616.0;
+    return (static_cast<double>(hash) + 1) / range;
+}
+
 hash128_value hash128(std::string_view bytes)
 {
     const auto hash = XXH3_128bits(bytes.data(), bytes.size());
--- a/src/core/hash.hpp
+++ b/src/core/hash.hpp
@@ -24,6 +24,9 @@
 // Returns the 64-bit XXH3 hash of the bytes for the seed.
 std::uint64_t hash64(std::string_view bytes, std::uint64_t seed = 0);
 
+// Returns the hash as a number above 0 and at most 1.
+double hash_fraction(std::uint64_t hash);
+
 // Returns the 128-bit XXH3 hash of the bytes.
 hash128_value hash128(std::string_view bytes);
 
--- a/src/edge/change_relay.cpp
+++ b/src/edge/change_relay.cpp
@@ -22,8 +22,7 @@
 constexpr unsigned status_gone = 410;
 constexpr unsigned status_unavailable = 503;
 
-// Returns the number of bytes of the answer.
-std::size_t answer(proxy::exchange& ex, const store::list_result& result)
+std::string encode(const store::list_result& result)
 {
     protocol::entries_response body;
     body.store_revision = result.store_revision;
@@ -32,13 +31,21 @@
         [](const store::entry& it) {
             return protocol::wire_entry{it.key, it.value, it.key_revision};
         });
-    const auto bytes = pack_value(body);
-    proxy::respond(ex, proxy::make_response(status_ok, bytes));
-    return bytes.size();
+    return pack_value(body);
+}
+
+void answer(proxy::exchange& ex, const store::list_result& result)
+{
+    proxy::respond(ex, proxy::make_response(status_ok, encode(result)));
 }
 
 } // namespace
 
+change_relay::change_relay(std::size_t max_waiting_watches)
+    : max_watches(max_waiting_watches)
+{
+}
+
 void change_relay::apply_listing(const store::list_result& all)
 {
     keys.clear();
@@ -132,6 +139,12 @@
         answer(*ex, changes);
         return;
     }
+    if (is_full())
+    {
+        proxy::respond(
+            *ex, proxy::make_response(status_unavailable, "too many watches"));
+        return;
+    }
     // Longer waits are shortened; the peer then repeats the watch.
     constexpr std::uint64_t max_wait_ms = 30'000;
     pending_watches.push_back(
@@ -139,28 +152,50 @@
          now + milliseconds(std::min(request.wait_ms, max_wait_ms))});
 }
 
+bool change_relay::is_full()
+{
+    if (pending_watches.size() >= max_watches)
+        std::erase_if(pending_watches,
+                      [](const pending_watch& it) { return it.ex->cancelled; });
+    return pending_watches.size() >= max_watches;
+}
+
 relayed_changes change_relay::answer_pending_watches()
 {
     relayed_changes relayed;
-    std::erase_if(pending_watches,
-                  [&](const pending_watch& it)
-                  {
-                      if (it.ex->cancelled)
-                          return true;
-                      if (it.after < oldest_revision)
-                      {
-                          proxy::respond(
-                              *it.ex,
-                              proxy::make_response(status_gone, "list again"));
-                          return true;
-                      }
-                      const auto changes = changes_after(it.prefix, it.after);
-                      if (changes.entries.empty())
-                          return false;
-                      ++relayed.watches;
-                      relayed.bytes += answer(*it.ex, changes);
-                      return true;
-                  });
+    // Most peers wait for the same changes. An empty text stands for none.
+    std::map<std::pair<std::string, revision>, std::string> encoded;
+    const auto encoded_changes = [&](const std::string& prefix,
+                                     revision after) -> const std::string&
+    {
+        const auto [it, added] = encoded.try_emplace({prefix, after});
+        if (!added)
+            return it->second;
+        const auto changes = changes_after(prefix, after);
+        if (!changes.entries.empty())
+            it->second = encode(changes);
+        return it->second;
+    };
+    std::erase_if(
+        pending_watches,
+        [&](const pending_watch& it)
+        {
+            if (it.ex->cancelled)
+                return true;
+            if (it.after < oldest_revision)
+            {
+                proxy::respond(*it.ex,
+                               proxy::make_response(status_gone, "list again"));
+                return true;
+            }
+            const auto& body = encoded_changes(it.prefix, it.after);
+            if (body.empty())
+                return false;
+            ++relayed.watches;
+            relayed.bytes += body.size();
+            proxy::respond(*it.ex, proxy::make_response(status_ok, body));
+            return true;
+        });
     return relayed;
 }
 
--- a/src/edge/change_relay.hpp
+++ b/src/edge/change_relay.hpp
@@ -29,6 +29,11 @@
 class change_relay
 {
 public:
+    // Lets as many watches wait at a time. Further peers have to watch another
+    // relay or the store, so that a change does not wait for the link of this
+    // instance.
+    explicit change_relay(std::size_t max_waiting_watches);
+
     // Replaces the local copy by a complete listing. Watches from an earlier
     // revision are answered with status 410, so that the peer lists again.
     void apply_listing(const store::list_result& all);
@@ -39,8 +44,8 @@
 
     // Answers a list request at once, and a watch when a key under its prefix
     // has changed or its wait time has passed. Requests before the first
-    // listing get status 503, malformed ones 400, and watches from a revision
-    // older than the retained changes 410.
+    // listing and watches beyond the maximum get status 503, malformed ones
+    // 400, and watches from a revision older than the retained changes 410.
     void serve(const proxy::exchange_ptr& ex, time_point now);
 
     // Answers the watches whose wait time has passed, with no entries.
@@ -59,8 +64,11 @@
     void serve_watch(const proxy::exchange_ptr& ex, time_point now);
     store::list_result changes_after(const std::string& prefix,
                                      revision after) const;
+    // Whether no further watch may wait. Forgets those of peers that have left.
+    bool is_full();
     relayed_changes answer_pending_watches();
 
+    std::size_t max_watches;
     std::map<std::string, store::entry> keys;
     revision current_revision;
     // The changes after this revision are retained.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -49,7 +49,8 @@
             config.callers.port,
             config.peer_port,
             config.domain,
-            config.region};
+            config.region,
+            config.link_mbps};
 }
 
 milliseconds fraction_of(milliseconds whole, double part)
@@ -87,7 +88,8 @@
       peer_socket(io,
                   udp::endpoint(proxy::asio::ip::make_address(config.address),
                                 config.peer_port)),
-      self(describe_self(config)), lease(std::make_shared<store::lease_id>())
+      self(describe_self(config)), relay(max_relayed_watches(config.link_mbps)),
+      lease(std::make_shared<store::lease_id>())
 {
     fleet.self = config.id;
     confirmation.pauses.max_gap = contact_timeout(config.bounds);
@@ -189,21 +191,25 @@
 void control_plane::update_watch_source(
     const std::vector<const peer_state*>& live)
 {
-    const auto* relay_peer = choose_relay_peer(
-        fleet, live,
-        {self.region, store_reachable(), options.min_relay_fleet_size});
-    const auto selected = relay_peer == nullptr
-                              ? std::nullopt
-                              : std::optional(relay_peer->record.id);
-    if (std::exchange(followed_peer, selected) != selected)
+    const auto relays =
+        choose_relays(fleet, live,
+                      {self.region, store_reachable(), self.link_mbps,
+                       options.min_relay_fleet_size});
+    const auto preferred = relays.empty()
+                               ? std::nullopt
+                               : std::optional(relays.front()->record.id);
+    if (std::exchange(preferred_relay, preferred) != preferred)
         LOG4CPLUS_INFO(log, "event=watch_source peer="
-                                << (selected ? selected->value : "-")
+                                << (preferred ? preferred->value : "-")
                                 << " live_peers=" << live.size());
-    if (relay_peer == nullptr)
-        feed->watch_peer(std::nullopt);
-    else
-        feed->watch_peer(steering::server_endpoint{
-            relay_peer->record.address, relay_peer->record.peer_port});
+    std::vector<steering::server_endpoint> endpoints;
+    std::ranges::transform(relays, std::back_inserter(endpoints),
+                           [](const peer_state* it)
+                           {
+                               return steering::server_endpoint{
+                                   it->record.address, it->record.peer_port};
+                           });
+    feed->watch_peers(std::move(endpoints));
 }
 
 void control_plane::poll_revision()
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -7,6 +7,7 @@
 
 #include <parsleyplank/edge/change_relay.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
+#include <parsleyplank/edge/relay_tree.hpp>
 #include <parsleyplank/edge/rollout_control.hpp>
 #include <parsleyplank/edge/state_confirmation.hpp>
 #include <parsleyplank/edge/store_feed.hpp>
@@ -111,8 +112,7 @@
     time_point removal_time() const;
     void schedule_removals();
 
-    // Selects whether the feed watches the store or a relay peer, and detects
-    // changes that the watch has missed.
+    // Selects whether the feed watches the store or relay peers.
     void update_watch_source(const std::vector<const peer_state*>& live);
     bool store_reachable() const;
     void poll_revision();
@@ -204,8 +204,8 @@
     bool publish_pending = false;
 
     change_relay relay;
-    // Peer from which this instance gets the changes of the store.
-    std::optional<instance_id> followed_peer;
+    // Preferred peer to get the changes of the store from.
+    std::optional<instance_id> preferred_relay;
     std::unique_ptr<proxy::front_listener> relay_listener;
 
     state_confirmation confirmation;
--- a/src/edge/fleet_view.cpp
+++ b/src/edge/fleet_view.cpp
@@ -1,5 +1,4 @@
 #include <parsleyplank/core/hash.hpp>
-#include <parsleyplank/core/rendezvous.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
 
 #include <algorithm>
@@ -11,11 +10,6 @@
 namespace
 {
 
-// Number of instances of a region that watch the store. The digests of the
-// second one give the revision of the store, so that the others notice when the
-// first one is cut off from it.
-constexpr std::ptrdiff_t watchers_per_region = 2;
-
 // Maximum number of digests of unknown instances, which bounds the memory for
 // datagrams of any origin.
 constexpr std::size_t max_early_digests = 512;
@@ -183,35 +177,6 @@
     return counts;
 }
 
-const peer_state* choose_relay_peer(const fleet_view& fleet,
-                                    const std::vector<const peer_state*>& live,
-                                    const relay_criteria& criteria)
-{
-    if (criteria.store_reachable &&
-        live.size() + 1 < criteria.min_relay_fleet_size)
-        return nullptr;
-    std::vector<instance_id> same_region;
-    std::vector<instance_id> any_region;
-    for (const auto* it : live)
-    {
-        if (!it->digest.store_reachable)
-            continue;
-        any_region.push_back(it->record.id);
-        if (it->record.region == criteria.region)
-            same_region.push_back(it->record.id);
-    }
-    if (criteria.store_reachable)
-        same_region.push_back(fleet.self);
-    const auto order = rendezvous_order(
-        "store feeder", same_region.empty() ? any_region : same_region);
-    const auto self = std::ranges::find(order, fleet.self);
-    const bool watches_store =
-        self != order.end() && self - order.begin() < watchers_per_region;
-    if (order.empty() || watches_store)
-        return nullptr;
-    return &fleet.peers.at(order.front());
-}
-
 void remove_expired_peers(fleet_view& fleet, const fleet_options& options,
                           time_point now)
 {
--- a/src/edge/fleet_view.hpp
+++ b/src/edge/fleet_view.hpp
@@ -31,11 +31,13 @@
     std::uint16_t peer_port = 0;
     failure_domain_id domain;
     region_id region;
+    // Bandwidth of the instance's link in Mbit/s; 0 if unknown.
+    double link_mbps = 0;
 
     bool operator==(const member_record&) const = default;
 
     MSGPACK_DEFINE_ARRAY(id, started_ms, address, caller_port, peer_port,
-                         domain, region)
+                         domain, region, link_mbps)
 };
 
 // Demand of one customer, identified by the hash of its id, in requests per
@@ -201,25 +203,6 @@
 // Returns the number of registered peers that are not leaving, by region.
 std::map<region_id, std::size_t> count_registered(const fleet_view& fleet);
 
-// Inputs to the choice of the relay peer.
-struct relay_criteria
-{
-    region_id region;
-    // Whether the store has recently answered this instance.
-    bool store_reachable = false;
-    // Number of instances from which on only a few of each region watch the
-    // store and relay its changes to the others.
-    std::size_t min_relay_fleet_size = 16;
-};
-
-// Returns the peer from which this instance gets the changes of the store, or
-// nullptr if it watches the store itself. An instance that can't reach the
-// store uses a peer that can, of its own region if possible, so that it still
-// learns of withdrawn keys, evacuations and draining servers.
-const peer_state* choose_relay_peer(const fleet_view& fleet,
-                                    const std::vector<const peer_state*>& live,
-                                    const relay_criteria& criteria);
-
 // Removes the peers that are neither registered nor responsive, and early
 // digests of the same age.
 void remove_expired_peers(fleet_view& fleet, const fleet_options& options,
--- a/src/edge/settings.cpp
+++ b/src/edge/settings.cpp
@@ -26,6 +26,7 @@
     in.address("address", s.address);
     in.number("memory_mb", s.memory_mb, 1, false);
     in.number("max_descriptors", s.max_descriptors, min_descriptors, false);
+    in.fraction("link_mbps", s.link_mbps, false);
     in.reject_unknown();
 }
 
--- a/src/edge/settings.hpp
+++ b/src/edge/settings.hpp
@@ -57,6 +57,8 @@
     std::int64_t memory_mb = 256;
     // Number of descriptors that the process may open; 0: as the system tells.
     std::int64_t max_descriptors = 0;
+    // Bandwidth of the link in Mbit/s; 0 if unknown.
+    double link_mbps = 0;
 
     // [listen]
     steering::server_endpoint callers;
--- a/src/edge/store_feed.cpp
+++ b/src/edge/store_feed.cpp
@@ -62,37 +62,52 @@
     handlers.listed(std::move(all));
 }
 
-void store_feed::watch_peer(
-    const std::optional<steering::server_endpoint>& next)
+void store_feed::watch_peers(std::vector<steering::server_endpoint> peers)
 {
     const std::lock_guard lock(peer_mutex);
-    chosen_peer = next;
+    selected_peers = std::move(peers);
 }
 
-store::kv_store* store_feed::selected_peer()
+std::optional<steering::server_endpoint> store_feed::choose_peer()
 {
-    std::optional<steering::server_endpoint> wanted;
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(paused_peers,
+                  [&](const auto& it) { return it.second <= now; });
+    const auto is_usable = [&](const steering::server_endpoint& it)
     {
-        const std::lock_guard lock(peer_mutex);
-        wanted = chosen_peer;
-    }
-    if (!wanted || std::chrono::steady_clock::now() < peer_paused_until)
-        return nullptr;
+        return !paused_peers.contains(it);
+    };
+    const std::lock_guard lock(peer_mutex);
+    if (connected_peer && is_usable(*connected_peer) &&
+        std::ranges::find(selected_peers, *connected_peer) !=
+            selected_peers.end())
+        return connected_peer;
+    const auto it = std::ranges::find_if(selected_peers, is_usable);
+    return it == selected_peers.end() ? std::nullopt : std::optional(*it);
+}
+
+store::kv_store* store_feed::connect_peer()
+{
+    const auto wanted = choose_peer();
     if (wanted != connected_peer)
+    {
+        peer.reset();
+        connected_peer = wanted;
+    }
+    if (wanted && !peer)
     {
         store::http_settings where;
         where.address = wanted->address;
         where.port = wanted->port;
         where.silence_timeout = options.peer_silence_timeout;
         peer = std::make_unique<store::http_kv_store>(where);
-        connected_peer = wanted;
     }
     return peer.get();
 }
 
 void store_feed::watch()
 {
-    auto* const relay = selected_peer();
+    auto* const relay = connect_peer();
     if (relay == nullptr)
     {
         auto changes =
@@ -110,7 +125,7 @@
     catch (const error& ec)
     {
         handlers.peer_failed(ec.what());
-        peer_paused_until =
+        paused_peers[*connected_peer] =
             std::chrono::steady_clock::now() + options.peer_retry_delay;
     }
 }
--- a/src/edge/store_feed.hpp
+++ b/src/edge/store_feed.hpp
@@ -2,19 +2,21 @@
 #define PARSLEYPLANK_EDGE_STORE_FEED_HPP
 
 // Follows the watched keys of the store on its own thread: lists them once,
-// then watches from the revision of the listing on. Watches a relay peer
-// instead of the store if one is selected.
+// then watches from the revision of the listing on. Watches relay peers instead
+// of the store if some are selected.
 
 #include <parsleyplank/steering/server_registry.hpp>
 #include <parsleyplank/store/lease_store.hpp>
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace parsleyplank::edge
 {
@@ -31,7 +33,8 @@
     // Wait time of one watch of a peer. Short, because another peer may be
     // selected in the meantime.
     milliseconds peer_watch_wait{1'000};
-    // Time after a failure of a peer during which the store is watched instead.
+    // Time after a failure of a peer during which the next peer, or the store,
+    // is watched instead.
     milliseconds peer_retry_delay{2'000};
     // Time without data on a connection to a peer after which the connection is
     // considered broken.
@@ -50,7 +53,7 @@
     std::function<void()> store_answered;
     // Called with the error message after a failed call to the store.
     std::function<void(const std::string& problem)> store_failed;
-    // Called when a watch of a peer has failed; the store is watched next.
+    // Called when a watch of a peer has failed.
     std::function<void(const std::string& problem)> peer_failed;
 };
 
@@ -63,9 +66,11 @@
                feed_options options, feed_handlers handlers);
     ~store_feed();
 
-    // Selects the peer to watch, or the store if there is none, from the next
-    // watch on. May be called from any thread.
-    void watch_peer(const std::optional<steering::server_endpoint>& peer);
+    // Selects the peers to watch, the preferred one first, from the next watch
+    // on. The store is watched if there are none, or if all have failed. A peer
+    // that is being watched is kept as long as it is selected and does not
+    // fail. May be called from any thread.
+    void watch_peers(std::vector<steering::server_endpoint> peers);
 
     store_feed(const store_feed&) = delete;
     store_feed& operator=(const store_feed&) = delete;
@@ -75,9 +80,10 @@
     void list();
     void watch();
     void deliver_changes(store::list_result changes, const std::string& source);
-    // Returns a client for the selected peer, or nullptr if the store is to be
+    // Returns a client for the peer to watch, or nullptr if the store is to be
     // watched.
-    store::kv_store* selected_peer();
+    store::kv_store* connect_peer();
+    std::optional<steering::server_endpoint> choose_peer();
 
     std::unique_ptr<store::lease_store> source;
     std::string prefix;
@@ -87,10 +93,11 @@
     // listing and after the store has lost its history.
     revision known_revision;
     std::mutex peer_mutex;
-    std::optional<steering::server_endpoint> chosen_peer;
+    std::vector<steering::server_endpoint> selected_peers;
     std::optional<steering::server_endpoint> connected_peer;
     std::unique_ptr<store::kv_store> peer;
-    time_point peer_paused_until{};
+    // Peers that have failed, and until when they are not tried again.
+    std::map<steering::server_endpoint, time_point> paused_peers;
     std::atomic<bool> stopping{false};
     std::thread thread;
 };
--- a/src/steering/server_ranking.cpp
+++ b/src/steering/server_ranking.cpp
@@ -19,13 +19,6 @@
 // Makes the position of an object independent of its rendezvous order.
 constexpr std::uint64_t position_seed = 0x9e3779b97f4a7c15;
 
-// Returns the hash as a number above 0 and at most 1.
-double hash_fraction(std::uint64_t hash)
-{
-    constexpr double range = 18446744073709551616.0;
-    return (static_cast<double>(hash) + 1) / range;
-}
-
 double to_ms(std::chrono::microseconds span)
 {
     return static_cast<double>(span.count()) / 1'000;
--- a/test/correctness/edge_change_relay.cpp
+++ b/test/correctness/edge_change_relay.cpp
@@ -22,11 +22,13 @@
     CPPUNIT_TEST(a_watch_waits_for_the_next_change);
     CPPUNIT_TEST(a_watch_returns_missed_changes_and_removals);
     CPPUNIT_TEST(a_watch_from_before_a_listing_has_to_list_again);
+    CPPUNIT_TEST(a_watch_beyond_the_maximum_is_refused);
     CPPUNIT_TEST(damaged_requests_are_refused);
     CPPUNIT_TEST_SUITE_END();
 
     const time_point start{std::chrono::hours(1)};
-    change_relay relay;
+    static constexpr std::size_t max_watches = 3;
+    change_relay relay{max_watches};
 
     static store::entry entry(const std::string& key, std::uint64_t at)
     {
@@ -112,6 +114,27 @@
         CPPUNIT_ASSERT_EQUAL(410U, watch(6)->response->result_int());
     }
 
+    // Failure scenario: one instance served a whole region, and each change
+    // waited for its link.
+    void a_watch_beyond_the_maximum_is_refused()
+    {
+        relay.apply_listing({{entry("a", 1)}, revision(5)});
+        std::vector<proxy::exchange_ptr> waiting;
+        for (std::size_t n = 0; n < max_watches; ++n)
+            waiting.push_back(watch(5));
+        CPPUNIT_ASSERT_EQUAL(503U, watch(5)->response->result_int());
+        // One of a peer that has left makes room.
+        proxy::cancel(*waiting.front());
+        CPPUNIT_ASSERT(!watch(5)->response);
+        CPPUNIT_ASSERT_EQUAL(503U, watch(5)->response->result_int());
+        const auto relayed =
+            relay.apply_changes({{entry("a", 6)}, revision(6)});
+        CPPUNIT_ASSERT_EQUAL(max_watches, relayed.watches);
+        CPPUNIT_ASSERT_EQUAL(waiting.back()->response->body().size() *
+                                 max_watches,
+                             relayed.bytes);
+    }
+
     void damaged_requests_are_refused()
     {
         relay.apply_listing({{}, revision(5)});
--- a/test/correctness/edge_fleet.cpp
+++ b/test/correctness/edge_fleet.cpp
@@ -4,7 +4,7 @@
 // routing table.
 
 #include <parsleyplank/core/error.hpp>
-#include <parsleyplank/edge/fleet_view.hpp>
+#include <parsleyplank/edge/relay_tree.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -162,9 +162,10 @@
 
     const peer_state* relay_peer(bool reached, std::size_t min_relay_fleet_size)
     {
-        return choose_relay_peer(
+        const auto relays = choose_relays(
             fleet, live_peers(fleet, options, start),
-            {region_id("oslo"), reached, min_relay_fleet_size});
+            {region_id("oslo"), reached, 0, min_relay_fleet_size});
+        return relays.empty() ? nullptr : relays.front();
     }
 
     peer_limit limit_at(time_point now)
--- a/test/failure/edge_change_spread.cpp
+++ b/test/failure/edge_change_spread.cpp
@@ -1,7 +1,7 @@
 // How the changes of the store spread over a large fleet whose instances have
 // links of a few Mbit/s.
 
-#include <parsleyplank/edge/fleet_view.hpp>
+#include <parsleyplank/edge/relay_tree.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -31,7 +31,8 @@
             it.id = instance_id("edge-" + std::to_string(n));
             it.started_ms = 1;
             it.region = region_id("region-" + std::to_string(n % regions));
-            links[it.id] = (n / regions) % 10 == 0 ? fast_mbps : slow_mbps;
+            it.link_mbps = (n / regions) % 10 == 0 ? fast_mbps : slow_mbps;
+            links[it.id] = it.link_mbps;
             put_member(fleet, it, start);
             member_digest digest;
             digest.id = it.id;
@@ -53,9 +54,10 @@
             auto own = fleet.peers.extract(id);
             fleet.self = id;
             const auto live = live_peers(fleet, options, start);
-            const auto* relay =
-                choose_relay_peer(fleet, live, {region, true, 16});
-            relays[id] = relay == nullptr ? instance_id() : relay->record.id;
+            const auto chosen =
+                edge::choose_relays(fleet, live, {region, true, mbps, 16});
+            relays[id] =
+                chosen.empty() ? instance_id() : chosen.front()->record.id;
             fleet.peers.insert(std::move(own));
         }
     }
