--- a/test/correctness/platform_decode.cpp
+++ b/test/correctness/platform_decode.cpp
@@ -68,6 +68,9 @@
     CPPUNIT_TEST(numbers_beyond_their_type_become_the_largest);
     CPPUNIT_TEST(a_server_decodes);
     CPPUNIT_TEST(a_malformed_server_record_is_rejected);
+    CPPUNIT_TEST(a_deeply_nested_record_is_rejected);
+    CPPUNIT_TEST(a_number_that_is_too_large_is_rejected);
+    CPPUNIT_TEST(a_port_out_of_range_is_rejected);
     CPPUNIT_TEST(a_directory_query_decodes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -216,6 +219,59 @@
                                          codec_error);
     }
 
+    // Failure scenario: an entry of another client, nested very deeply, ended
+    // the process: cells of a configuration were copied recursively.
+    void a_deeply_nested_record_is_rejected()
+    {
+        // As deep as the store's largest value allows.
+        constexpr std::size_t depth = 500'000;
+        const auto nested =
+            std::string(depth, '[') + "1" + std::string(depth, ']');
+        CPPUNIT_ASSERT_THROW(platform::decode_configuration(replaced(
+                                 configuration, "[\"k1\",\"k2\"]", nested)),
+                             codec_error);
+        CPPUNIT_ASSERT_THROW(
+            decode(server("\"state\":", "\"novel\":" + nested + ",\"state\":")),
+            codec_error);
+        CPPUNIT_ASSERT_THROW(
+            decode(server("\"capacity\":4", "\"capacity\":" + nested)),
+            codec_error);
+        CPPUNIT_ASSERT_THROW(decode(nested), codec_error);
+        CPPUNIT_ASSERT_THROW(platform::decode_rollout(
+                                 "{\"service\":" + nested + "}", revision(1)),
+                             codec_error);
+    }
+
+    void a_number_that_is_too_large_is_rejected()
+    {
+        const std::vector<std::pair<std::string, std::string>> changes{
+            {"\"capacity\":4", "\"capacity\":1e400"},
+            {"\"capacity\":4", "\"capacity\":18446744073709551615"},
+            {"\"capacity\":4", "\"capacity\":99999999999999999999999"},
+            {"\"sequence\":4", "\"sequence\":18446744073709551615"},
+            {"\"sequence\":4", "\"sequence\":1e30"},
+            {"1700000000123", "9223372036854775808"},
+            {"1500ms", "1e300s"},
+            {"1500ms", "99999999999999999999ms"}};
+        for (const auto& [from, to] : changes)
+            CPPUNIT_ASSERT_THROW_MESSAGE(to, decode(server(from, to)),
+                                         codec_error);
+    }
+
+    void a_port_out_of_range_is_rejected()
+    {
+        for (const auto* const port :
+             {"0", "-1", "65536", "70000", "4295000000", "8080x", " 80", ""})
+            CPPUNIT_ASSERT_THROW_MESSAGE(
+                port,
+                decode(
+                    server("10.1.0.9:8080", std::string("10.1.0.9:") + port)),
+                codec_error);
+        CPPUNIT_ASSERT_EQUAL(
+            std::uint16_t(65'535),
+            decode(server("10.1.0.9:8080", "10.1.0.9:65535")).endpoint.port);
+    }
+
     void a_directory_query_decodes()
     {
         const auto adapter = platform::make_adapter();
--- a/test/support/whole_instance.hpp
+++ b/test/support/whole_instance.hpp
@@ -33,6 +33,7 @@
         config.id = instance_id("edge-" + std::to_string(number));
         config.region = region_id(region);
         config.domain = failure_domain_id(region + "-a");
+        config.regions[config.domain] = config.region;
         config.address = "127.0.0.1";
         config.callers = {"127.0.0.1", free_port()};
         config.readiness = {"127.0.0.1", free_port()};
@@ -73,6 +74,15 @@
         return caller.receive().status;
     }
 
+    // Returns the body of the directory's answer to callers of the region.
+    std::string look_up(const std::string& region) const
+    {
+        raw_connection caller(config.directory.port);
+        caller.send("GET /resolve?name=shop.example&region=" + region +
+                    "&zone=" + region + "-a HTTP/1.1\r\nHost: a\r\n\r\n");
+        return caller.receive().body;
+    }
+
 private:
     edge::settings config;
     telemetry::metrics counters;
