--- a/test/correctness/platform_decode.cpp
+++ b/test/correctness/platform_decode.cpp
@@ -8,6 +8,7 @@
 #include <platform/adapter.hpp>
 #include <platform/decode.hpp>
 
+#include <cmath>
 #include <limits>
 
 using namespace parsleyplank;
@@ -71,6 +72,7 @@
     CPPUNIT_TEST(a_deeply_nested_record_is_rejected);
     CPPUNIT_TEST(a_number_that_is_too_large_is_rejected);
     CPPUNIT_TEST(a_port_out_of_range_is_rejected);
+    CPPUNIT_TEST(large_weights_and_rates_stay_finite);
     CPPUNIT_TEST(a_directory_query_decodes);
     CPPUNIT_TEST_SUITE_END();
 
@@ -272,6 +274,24 @@
             decode(server("10.1.0.9:8080", "10.1.0.9:65535")).endpoint.port);
     }
 
+    // Sums of such numbers would be infinite, and shares of infinite sums no
+    // numbers.
+    void large_weights_and_rates_stay_finite()
+    {
+        const auto weighted = platform::decode_configuration(replaced(
+            replaced(configuration, "\"weight\":90", "\"weight\":1e308"),
+            "\"weight\":10", "\"weight\":1e308"));
+        const auto& services = weighted.routes.front().services;
+        CPPUNIT_ASSERT(
+            std::isfinite(services.front().weight + services.back().weight));
+        const auto rated = platform::decode_configuration(
+            replaced(configuration, ",81,82,", ",1e308,1e308,"));
+        const auto& customer = rated.customers.front();
+        constexpr double seconds_of_a_day = 86'400;
+        CPPUNIT_ASSERT(std::isfinite(customer.rate.value * seconds_of_a_day +
+                                     customer.burst.value));
+    }
+
     void a_directory_query_decodes()
     {
         const auto adapter = platform::make_adapter();
