Skip registrations that do not tell where the instance listens

Ports 0 and 65535 (the port after it is used too) were taken as well.

Such a record is skipped with event=unknown_value now, like any that can't be decoded. Whatever a decoder throws, only its entry is skipped.

an_instance_outlives_odd_entries_among_the_members fails with the check taken out (127.0.0.1:80 in the directory's answer), and passes with it. That a request for a token ends the process was read off the code, not run.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -453,7 +453,8 @@
                          it.key_revision);
         }
     }
-    catch (const error& ec)
+    // Any client of the store may have written the entry.
+    catch (const std::exception& ec)
     {
         note_unknown_value("record of key " + it.key +
                            " skipped: " + ec.what());
@@ -467,6 +468,7 @@
 
 void control_plane::apply_member(const member_record& record)
 {
+    check_member(record);
     // From now on the peers take this instance's digests. Until they have heard
     // of each other, all instances of a large fleet watch the store.
     if (record == self && !std::exchange(registration_seen, true))
--- a/src/edge/fleet_view.cpp
+++ b/src/edge/fleet_view.cpp
@@ -1,8 +1,14 @@
+#include <parsleyplank/core/error.hpp>
 #include <parsleyplank/core/hash.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
 
+#include <arpa/inet.h>
+
 #include <algorithm>
+#include <array>
+#include <cmath>
 #include <iterator>
+#include <limits>
 
 namespace parsleyplank::edge
 {
@@ -90,6 +96,24 @@
         }
 }
 
+void check_member(const member_record& record)
+{
+    std::array<unsigned char, sizeof(in6_addr)> buf{};
+    const auto* const address = record.address.c_str();
+    if (inet_pton(AF_INET, address, buf.data()) != 1 &&
+        inet_pton(AF_INET6, address, buf.data()) != 1)
+        throw codec_error("member '" + record.id.value + "': '" +
+                          record.address + "' is not an IP address");
+    // The port after peer_port is used as well.
+    if (record.caller_port == 0 || record.peer_port == 0 ||
+        record.peer_port == std::numeric_limits<std::uint16_t>::max())
+        throw codec_error("member '" + record.id.value +
+                          "': port out of range");
+    if (!std::isfinite(record.link_mbps) || record.link_mbps < 0)
+        throw codec_error("member '" + record.id.value +
+                          "': bandwidth out of range");
+}
+
 bool put_member(fleet_view& fleet, const member_record& record, time_point now)
 {
     if (record.id == fleet.self)
--- a/src/edge/fleet_view.hpp
+++ b/src/edge/fleet_view.hpp
@@ -163,6 +163,9 @@
     std::map<instance_id, early_digest> early_digests;
 };
 
+// Throws codec_error if the record does not tell where the instance listens.
+void check_member(const member_record& record);
+
 // Records the registration of an instance, and the digest that was received
 // before it. Ignores that of this instance itself. Returns whether it is the
 // first registration of a process.
--- a/test/failure/edge_odd_entries.cpp
+++ b/test/failure/edge_odd_entries.cpp
@@ -16,6 +16,7 @@
 {
     CPPUNIT_TEST_SUITE(edge_odd_entries);
     CPPUNIT_TEST(an_instance_outlives_odd_entries_among_the_servers);
+    CPPUNIT_TEST(an_instance_outlives_odd_entries_among_the_members);
     CPPUNIT_TEST(an_instance_outlives_an_odd_configuration);
     CPPUNIT_TEST_SUITE_END();
 
@@ -136,6 +137,33 @@
         expect_service();
     }
 
+    // Failure scenario: an address that is none ended the traffic thread when
+    // it asked that member for a token.
+    void an_instance_outlives_odd_entries_among_the_members()
+    {
+        start_instance();
+        CPPUNIT_ASSERT(
+            eventually([this] { return instance->read("0") == 503; }));
+        edge::member_record odd;
+        odd.id = instance_id("odd");
+        odd.domain = failure_domain_id("oslo-a");
+        odd.region = region_id("oslo");
+        odd.started_ms = 1;
+        odd.address = "not an address";
+        odd.caller_port = 80;
+        odd.peer_port = 81;
+        write_key(*data, "steer/members/odd", pack_value(odd));
+        odd.address = "127.0.0.1";
+        odd.peer_port = 65'535;
+        write_key(*data, "steer/members/odd-port", pack_value(odd));
+        write_key(*data, "steer/members/nested", std::string(depth, '\x91'));
+        expect_service();
+        CPPUNIT_ASSERT(instance->look_up("oslo").find("127.0.0.1:80") ==
+                       std::string::npos);
+        CPPUNIT_ASSERT(instance->look_up("oslo").find("not an address") ==
+                       std::string::npos);
+    }
+
     // Failure scenario: the cells of a configuration were copied recursively.
     void an_instance_outlives_an_odd_configuration()
     {
