--- a/test/failure/edge_change_spread.cpp
+++ b/test/failure/edge_change_spread.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
 #include <string>
 
 using namespace parsleyplank;
@@ -43,29 +44,88 @@
     }
 
     // Sets the relay of each instance of the region; one without a relay
-    // watches the store.
-    void choose_relays(const region_id& region)
+    // watches the store. Each instance lacks a random part of its peers.
+    void choose_relays(const region_id& region, double unknown_part = 0,
+                       unsigned seed = 0)
     {
+        std::mt19937 random(seed);
+        std::bernoulli_distribution is_unknown(unknown_part);
         relays.clear();
+        second_relays.clear();
         for (const auto& [id, mbps] : links)
         {
             if (fleet.peers.at(id).record.region != region)
                 continue;
             auto own = fleet.peers.extract(id);
             fleet.self = id;
-            const auto live = live_peers(fleet, options, start);
+            auto live = live_peers(fleet, options, start);
+            std::erase_if(live, [&](const auto* /*peer*/)
+                          { return is_unknown(random); });
             const auto chosen =
                 edge::choose_relays(fleet, live, {region, true, mbps, 16});
             relays[id] =
                 chosen.empty() ? instance_id() : chosen.front()->record.id;
+            second_relays[id] =
+                chosen.size() < 2 ? instance_id() : chosen[1]->record.id;
             fleet.peers.insert(std::move(own));
         }
     }
 
     std::size_t watchers_of(const instance_id& relay) const
     {
-        return static_cast<std::size_t>(std::ranges::count_if(
-            relays, [&](const auto& it) { return it.second == relay; }));
+        return count_watchers(relays, relay);
+    }
+
+    // Relay of each instance of the region.
+    using relay_choice = std::map<instance_id, instance_id>;
+
+    const relay_choice& preferred_relays() const
+    {
+        return relays;
+    }
+
+    // Returns the largest ratio of the peers that watch a relay to those that
+    // it accepts, after this relay is lost and its peers have moved to their
+    // second ones.
+    double worst_load_without(const instance_id& lost) const
+    {
+        auto moved = relays;
+        for (auto& [id, relay] : moved)
+            if (relay == lost)
+                relay = second_relays.at(id);
+        double worst = 0;
+        for (const auto& [id, relay] : moved)
+        {
+            const auto accepted = max_relayed_watches(links.at(id));
+            worst =
+                std::max(worst, static_cast<double>(count_watchers(moved, id)) /
+                                    static_cast<double>(accepted));
+        }
+        return worst;
+    }
+
+    // Removes an instance that its peers know to be lost.
+    void remove(const instance_id& id)
+    {
+        fleet.peers.erase(id);
+        links.erase(id);
+    }
+
+    // Returns whether each instance gets the changes of one that watches the
+    // store.
+    bool is_connected() const
+    {
+        return std::ranges::all_of(relays,
+                                   [&](const auto& it)
+                                   {
+                                       auto at = it.first;
+                                       std::size_t hops = 0;
+                                       for (; relays.at(at) != instance_id() &&
+                                              hops <= relays.size();
+                                            ++hops)
+                                           at = relays.at(at);
+                                       return hops <= relays.size();
+                                   });
     }
 
     std::size_t largest_fan_out() const
@@ -104,11 +164,19 @@
     // on a part of a core.
     static constexpr double hop_seconds = 0.1;
 
+    static std::size_t count_watchers(const relay_choice& choice,
+                                      const instance_id& relay)
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            choice, [&](const auto& it) { return it.second == relay; }));
+    }
+
     const time_point start{std::chrono::hours(1)};
     const fleet_options options{};
     fleet_view fleet;
     std::map<instance_id, double> links;
-    std::map<instance_id, instance_id> relays;
+    relay_choice relays;
+    relay_choice second_relays;
 };
 
 class edge_change_spread : public CppUnit::TestFixture
@@ -116,6 +184,9 @@
     CPPUNIT_TEST_SUITE(edge_change_spread);
     CPPUNIT_TEST(a_relay_serves_a_bounded_number_of_peers);
     CPPUNIT_TEST(a_large_change_is_in_force_everywhere_in_time);
+    CPPUNIT_TEST(the_loss_of_a_relay_moves_few_peers);
+    CPPUNIT_TEST(the_second_relays_bear_the_loss_of_any_relay);
+    CPPUNIT_TEST(instances_that_know_different_parts_form_no_circle);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +208,55 @@
         }
     }
 
+    // Failure scenario: each loss of an instance gives most others another
+    // relay, and all connect anew while instances are replaced one by one.
+    void the_loss_of_a_relay_moves_few_peers()
+    {
+        const region_id region("region-0");
+        simulated_fleet fleet(295, 3);
+        fleet.choose_relays(region);
+        const auto before = fleet.preferred_relays();
+        for (const auto& [lost, above] : before)
+        {
+            auto rest = fleet;
+            rest.remove(lost);
+            rest.choose_relays(region);
+            const auto moved = std::ranges::count_if(
+                rest.preferred_relays(), [&](const auto& it)
+                { return it.second != before.at(it.first); });
+            const auto most =
+                static_cast<std::ptrdiff_t>(rest.preferred_relays().size()) / 2;
+            CPPUNIT_ASSERT_MESSAGE(lost.value + ": " + std::to_string(moved) +
+                                       " moved",
+                                   moved < most);
+            CPPUNIT_ASSERT(rest.is_connected());
+        }
+    }
+
+    // Failure scenario: all peers of a lost relay move to the same other one.
+    void the_second_relays_bear_the_loss_of_any_relay()
+    {
+        simulated_fleet fleet(295, 3);
+        fleet.choose_relays(region_id("region-0"));
+        for (const auto& [lost, above] : fleet.preferred_relays())
+            CPPUNIT_ASSERT_MESSAGE(lost.value,
+                                   fleet.worst_load_without(lost) <= 1);
+    }
+
+    // Failure scenario: two instances each take the other one for their relay,
+    // and neither hears of a change.
+    void instances_that_know_different_parts_form_no_circle()
+    {
+        simulated_fleet fleet(295, 3);
+        constexpr unsigned seeds = 20;
+        for (unsigned seed = 1; seed <= seeds; ++seed)
+        {
+            fleet.choose_relays(region_id("region-1"), 0.3, seed);
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                                   fleet.is_connected());
+        }
+    }
+
     // Failure scenario: a configuration and 99 new servers reached most
     // instances of a region seconds after its two watchers, and requests still
     // followed the former configuration.
