Reserve the ports on which tests start listeners

Cause: a test took a free port, gave it up, and let an instance listen on the port before it, which nothing had tried. Both failing ports are even. Linux prefers odd ports for sockets that are bound to port 0 and even ones for the local ends of connections. A connection without SO_REUSEADDR that has been closed keeps its port from listeners for 60 s.

Ruled out: an instance left by an earlier test; the third test of the suite, which starts the same instance, passed, and the ports are drawn anew.

Mend: a reservation binds its port and keeps it bound as long as the fixture lives; a listener with SO_REUSEADDR may listen on it, and nothing else takes it. Two successive ports are reserved together. The loop in instance_fleet that tried another port after a failure is gone.

--- a/test/failure/edge_relay_loss.cpp
+++ b/test/failure/edge_relay_loss.cpp
@@ -78,6 +78,8 @@
         std::make_shared<memory_store_data>();
     std::atomic<int> relayed_changes{0};
     std::atomic<int> store_changes{0};
+    const reserved_port closed;
+    const reserved_port also_closed;
     std::unique_ptr<store_feed> feed;
 
     // Lets the feed watch these peers. They are selected after its first watch,
@@ -108,9 +110,10 @@
         return data->watches;
     }
 
-    static steering::server_endpoint closed_endpoint()
+    // Nothing listens there.
+    static steering::server_endpoint endpoint_of(const reserved_port& port)
     {
-        return {"127.0.0.1", free_port()};
+        return {"127.0.0.1", port.number()};
     }
 
     // The changes come through this peer, and the store is not watched.
@@ -133,7 +136,7 @@
     void a_killed_relay_is_replaced_by_another_one()
     {
         const scripted_relay other(behavior::relays);
-        follow({closed_endpoint(), other.endpoint()});
+        follow({endpoint_of(closed), other.endpoint()});
         expect_changes_through(other);
     }
 
@@ -162,7 +165,7 @@
 
     void without_any_relay_the_store_is_watched()
     {
-        follow({closed_endpoint(), closed_endpoint()});
+        follow({endpoint_of(closed), endpoint_of(also_closed)});
         CPPUNIT_ASSERT(eventually([this] { return watches_of_store() == 1; }));
         write_key(*data, "key", "value");
         CPPUNIT_ASSERT(eventually([this] { return store_changes == 2; }));
--- a/test/failure/proxy_front_stop.cpp
+++ b/test/failure/proxy_front_stop.cpp
@@ -30,7 +30,8 @@
 
     std::unique_ptr<proxy::asio::io_context> io;
     std::unique_ptr<proxy::front_listener> listener;
-    std::uint16_t port = 0;
+    const reserved_port reserved;
+    const std::uint16_t port = reserved.number();
     std::string response_body;
 
     // Lets the listener react to what has arrived.
@@ -54,7 +55,6 @@
     void setUp() override
     {
         io = std::make_unique<proxy::asio::io_context>(1);
-        port = free_port();
         response_body = "ok";
         listener = std::make_unique<proxy::front_listener>(
             *io, steering::server_endpoint{"127.0.0.1", port},
--- a/test/support/edge_fixture.hpp
+++ b/test/support/edge_fixture.hpp
@@ -9,6 +9,7 @@
 #include <platform/adapter.hpp>
 #include <support/raw_connection.hpp>
 #include <support/raw_server.hpp>
+#include <support/reserved_port.hpp>
 
 #include <memory>
 #include <optional>
@@ -18,13 +19,13 @@
 namespace parsleyplank::test
 {
 
-// Returns a loopback port that was free at the time of the call.
-inline std::uint16_t free_port()
+// Makes an instance with these settings listen on the ports.
+inline void listen_on(const instance_ports& ports, edge::settings& config)
 {
-    proxy::asio::io_context io;
-    const proxy::tcp::acceptor probe(
-        io, {proxy::asio::ip::address_v4::loopback(), 0});
-    return probe.local_endpoint().port();
+    config.callers = {"127.0.0.1", ports.callers.number()};
+    config.readiness = {"127.0.0.1", ports.readiness.number()};
+    config.directory = {"127.0.0.1", ports.directory.number()};
+    config.peer_port = ports.peers.first.number();
 }
 
 // Returns the value of a header of a request in text form; empty if it is
@@ -62,10 +63,7 @@
         config.region = region_id("oslo");
         config.domain = failure_domain_id("oslo-a");
         config.address = "127.0.0.1";
-        config.callers = {"127.0.0.1", free_port()};
-        config.readiness = {"127.0.0.1", free_port()};
-        config.directory = {"127.0.0.1", free_port()};
-        config.peer_port = static_cast<std::uint16_t>(free_port() - 1);
+        listen_on(ports, config);
         plane =
             std::make_unique<edge::traffic_plane>(config, adapter, counters);
     }
@@ -149,6 +147,7 @@
                "\r\n" + more + length + "\r\n" + body;
     }
 
+    const instance_ports ports;
     edge::settings config;
     // Whether the published state may be used.
     bool confirmed = true;
--- a/test/support/listener_fixture.hpp
+++ b/test/support/listener_fixture.hpp
@@ -63,7 +63,8 @@
     }
 
     proxy::asio::io_context io{1};
-    const std::uint16_t port = free_port();
+    const reserved_port reserved;
+    const std::uint16_t port = reserved.number();
     std::vector<proxy::exchange_ptr> handled;
     time_point first_handled;
     // Whether the handler responds, or holds the requests.
--- a/test/support/whole_instance.hpp
+++ b/test/support/whole_instance.hpp
@@ -35,10 +35,7 @@
         config.domain = failure_domain_id(region + "-a");
         config.regions[config.domain] = config.region;
         config.address = "127.0.0.1";
-        config.callers = {"127.0.0.1", free_port()};
-        config.readiness = {"127.0.0.1", free_port()};
-        config.directory = {"127.0.0.1", free_port()};
-        config.peer_port = static_cast<std::uint16_t>(free_port() - 1);
+        listen_on(ports, config);
         config.bounds.grace = grace;
         traffic =
             std::make_unique<edge::traffic_plane>(config, adapter, counters);
@@ -84,6 +81,7 @@
     }
 
 private:
+    const instance_ports ports;
     edge::settings config;
     telemetry::metrics counters;
     std::unique_ptr<edge::traffic_plane> traffic;
@@ -141,20 +139,8 @@
     void add_instance(const std::string& region)
     {
         const int number = static_cast<int>(instances.size()) + 1;
-        // A port that was free may be in use by now, and those beside it were
-        // not tried.
-        for (int tries_left = 10; tries_left > 0; --tries_left)
-            try
-            {
-                instances.push_back(std::make_unique<whole_instance>(
-                    number, region, adapter, data, options));
-                return;
-            }
-            catch (const std::exception&)
-            {
-                if (tries_left == 1)
-                    throw;
-            }
+        instances.push_back(std::make_unique<whole_instance>(
+            number, region, adapter, data, options));
     }
 
     // Stops all instances. Returns how long the last one took to end.
