Divide the rates of customers from sums of the peers' demands

Cost, not a fault of its own: each publish looked up each customer in the report of each peer, and looked again for each region of a small rate.

Now the reports are summed once, over all peers and by region, and each customer is divided from these sums: a module of its own without network (rate_division).

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -1,6 +1,7 @@
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/core/rendezvous.hpp>
 #include <parsleyplank/edge/control_plane.hpp>
+#include <parsleyplank/edge/rate_division.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -838,66 +839,6 @@
         next.versions[service] = policy_of(rollout, versions[service]);
 }
 
-// Returns the demand that the peers know already. When the demand of all
-// instances grows at once, a newer value would be divided against outdated
-// values of the peers, and all instances together would exceed the rate.
-double control_plane::shared_demand(const customer_id& customer) const
-{
-    const auto it = shared_demands.find(customer);
-    return it == shared_demands.end() ? 0 : it->second;
-}
-
-steering::customer_share
-control_plane::region_share(const steering::traffic_customer& customer,
-                            const steering_snapshot& next) const
-{
-    std::map<region_id, double> demands;
-    for (const auto& it : next.members)
-        demands.try_emplace(it.region, 0);
-    demands[self.region] += shared_demand(customer.id);
-    const auto number = customer_number(customer.id);
-    for (const auto& [id, peer] : fleet.peers)
-    {
-        const auto& reported = peer.digest.demands;
-        const auto it =
-            std::ranges::find(reported, number, &customer_demand::customer);
-        if (it != reported.end() && is_responsive(peer, options.fleet, now()))
-            demands[peer.record.region] += it->per_second;
-    }
-    std::vector<steering::peer_demand> others;
-    for (const auto& [region, demand] : demands)
-        if (region != self.region)
-            others.push_back({demand, true});
-    return steering::divide_rate(customer.rate, customer.burst,
-                                 demands[self.region], others);
-}
-
-void control_plane::update_shares(steering_snapshot& next) const
-{
-    if (!routing)
-        return;
-    for (const auto& customer : routing->config->customers)
-    {
-        if (customer.rate.value <= 0)
-            continue;
-        const auto number = customer_number(customer.id);
-        std::vector<steering::peer_demand> parties;
-        for (const auto& [id, peer] : fleet.peers)
-        {
-            const auto& demands = peer.digest.demands;
-            const auto it =
-                std::ranges::find(demands, number, &customer_demand::customer);
-            parties.push_back({it == demands.end() ? 0 : it->per_second,
-                               is_responsive(peer, options.fleet, now())});
-        }
-        next.shares[customer.id] = steering::divide_rate(
-            customer.rate, customer.burst, shared_demand(customer.id), parties);
-        const auto members = static_cast<double>(parties.size()) + 1;
-        if (customer.rate.value < options.min_divided_rate * members)
-            next.region_shares[customer.id] = region_share(customer, next);
-    }
-}
-
 void control_plane::publish()
 {
     auto next = std::make_shared<steering_snapshot>();
@@ -926,7 +867,10 @@
     if (!drain_started_at)
         ++next->registered[self.region];
     update_servers(*next);
-    update_shares(*next);
+    if (routing)
+        divide_rates(*next, sum_demands(fleet, options.fleet, now()),
+                     {self.region, shared_demands,
+                      token_rate(options.min_divided_rate)});
     add_limits(*next, fleet, options.fleet, now());
     traffic.publish(std::move(next));
 }
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -152,12 +152,6 @@
     tally_table fleet_tallies(const traffic_report& report) const;
     void publish();
     void publish_soon();
-    void update_shares(steering_snapshot& next) const;
-    // Returns the share of this region in a customer's rate.
-    steering::customer_share
-    region_share(const steering::traffic_customer& customer,
-                 const steering_snapshot& next) const;
-    double shared_demand(const customer_id& customer) const;
     void update_servers(steering_snapshot& next);
 
     void begin_drain();
@@ -197,7 +191,9 @@
     // Whether the store has listed the registration of this process.
     bool registration_seen = false;
     // Demands in the digest before the last one, which all peers have received
-    // by now.
+    // by now. When the demand of all instances grows at once, a newer value
+    // would be divided against outdated values of the peers, and all instances
+    // together would exceed the rate.
     std::unordered_map<customer_id, double> shared_demands;
     member_record self;
     std::uint64_t digest_sequence_number = 0;
--- a/src/steering/customer_share.cpp
+++ b/src/steering/customer_share.cpp
@@ -2,30 +2,24 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace parsleyplank::steering
 {
 
 customer_share divide_rate(token_rate rate, tokens burst, double own_demand,
-                           std::span<const peer_demand> peers)
+                           const demand_sum& peers)
 {
-    const auto members = static_cast<double>(peers.size()) + 1;
-    const auto even = rate.value / members;
-    const auto stale = static_cast<double>(
-        std::ranges::count(peers, false, &peer_demand::fresh));
-    const bool isolated = !peers.empty() && stale == members - 1;
+    const auto users = static_cast<double>(peers.reporting) + 1;
+    const auto silent = static_cast<double>(peers.silent);
+    const auto even = rate.value / (users + silent);
+    const bool isolated = peers.reporting == 0 && peers.silent > 0;
     double part = even;
     if (!isolated)
     {
-        const auto available = rate.value - even * stale;
-        const auto demand =
-            std::accumulate(peers.begin(), peers.end(), own_demand,
-                            [](double sum, const peer_demand& it)
-                            { return it.fresh ? sum + it.demand : sum; });
-        part = demand > available
-                   ? available * own_demand / demand
-                   : own_demand + (available - demand) / (members - stale);
+        const auto available = rate.value - even * silent;
+        const auto demand = own_demand + peers.demand;
+        part = demand > available ? available * own_demand / demand
+                                  : own_demand + (available - demand) / users;
     }
     const auto fraction = rate.value > 0 ? part / rate.value : 0;
     return {token_rate(part), tokens(std::max(1.0, burst.value * fraction))};
--- a/src/steering/customer_share.hpp
+++ b/src/steering/customer_share.hpp
@@ -11,18 +11,19 @@
 #include <parsleyplank/core/units.hpp>
 
 #include <cstddef>
-#include <span>
 
 namespace parsleyplank::steering
 {
 
-// Demand of a peer for one customer, as it has last reported it.
-struct peer_demand
+// Demand of the peers for one customer.
+struct demand_sum
 {
-    // Requests per second, whether admitted or refused.
+    // Requests per second, whether admitted or refused, over the peers whose
+    // reports are recent enough to be used.
     double demand = 0;
-    // Whether the report is recent enough to be used.
-    bool fresh = true;
+    // The number of these peers, and of the other ones.
+    std::size_t reporting = 0;
+    std::size_t silent = 0;
 };
 
 struct customer_share
@@ -33,12 +34,11 @@
 
 // Returns the part of this instance: its demand, scaled down if the total
 // demand exceeds the rate, and otherwise increased by an even part of the
-// unused rate. An even part of the rate is reserved for each peer without a
-// fresh report. An instance without fresh reports of any peer uses an even part
-// too. The burst is divided like the rate, but each part admits at least one
-// request.
+// unused rate. An even part of the rate is reserved for each silent peer. An
+// instance whose peers are all silent uses an even part too. The burst is
+// divided like the rate, but each part admits at least one request.
 customer_share divide_rate(token_rate rate, tokens burst, double own_demand,
-                           std::span<const peer_demand> peers);
+                           const demand_sum& peers);
 
 // Running average of the requests per second that ask for a customer's tokens.
 struct demand_meter
--- a/test/correctness/steering_shares.cpp
+++ b/test/correctness/steering_shares.cpp
@@ -15,6 +15,23 @@
 namespace
 {
 
+struct peer_demand
+{
+    double demand = 0;
+    bool fresh = true;
+};
+
+demand_sum sum_of(const std::vector<peer_demand>& peers)
+{
+    demand_sum sum;
+    for (const auto& it : peers)
+    {
+        ++(it.fresh ? sum.reporting : sum.silent);
+        sum.demand += it.fresh ? it.demand : 0;
+    }
+    return sum;
+}
+
 // Returns the sum of the parts that all instances compute from the same
 // demands.
 double sum_of_parts(const std::vector<double>& demands, double rate)
@@ -26,7 +43,8 @@
         for (std::size_t i = 0; i < demands.size(); ++i)
             if (i != self)
                 peers.push_back({demands[i], true});
-        sum += divide_rate(token_rate(rate), tokens(0), demands[self], peers)
+        sum += divide_rate(token_rate(rate), tokens(0), demands[self],
+                           sum_of(peers))
                    .rate.value;
     }
     return sum;
@@ -91,29 +109,31 @@
     void demand_within_the_rate_is_covered_wherever_it_is()
     {
         const std::vector<peer_demand> idle(8);
-        CPPUNIT_ASSERT(
-            divide_rate(token_rate(100), tokens(0), 95, idle).rate.value >= 95);
+        CPPUNIT_ASSERT(divide_rate(token_rate(100), tokens(0), 95, sum_of(idle))
+                           .rate.value >= 95);
     }
 
     void an_isolated_instance_and_its_peers_stay_within_the_rate()
     {
         std::vector<peer_demand> stale(8, peer_demand{50, false});
         const auto alone =
-            divide_rate(token_rate(90), tokens(0), 1'000, stale).rate.value;
+            divide_rate(token_rate(90), tokens(0), 1'000, sum_of(stale))
+                .rate.value;
         // The other instances have fresh reports of each other but not of this
         // one.
         std::vector<peer_demand> peers(7, peer_demand{50, true});
         peers.push_back({0, false});
         const auto other =
-            divide_rate(token_rate(90), tokens(0), 50, peers).rate.value;
+            divide_rate(token_rate(90), tokens(0), 50, sum_of(peers))
+                .rate.value;
         CPPUNIT_ASSERT(std::abs(alone + 8 * other - 90) < 1e-6);
     }
 
     void a_small_part_admits_one_request()
     {
         const std::vector<peer_demand> many(63);
-        CPPUNIT_ASSERT(
-            divide_rate(token_rate(2), tokens(2), 0, many).burst.value >= 1);
+        CPPUNIT_ASSERT(divide_rate(token_rate(2), tokens(2), 0, sum_of(many))
+                           .burst.value >= 1);
     }
 
     void demand_follows_what_is_counted()
