Tell the watchers of other regions of changes, and ask a peer that is ahead

Now an instance that gets changes from the store sends its digest to those that watch the store for their regions, at most two a region and every 200 ms; whoever hears of a newer revision asks the peer that reported it for what has changed, before it lists all keys. With two silent relays the feed went from one to the other and never to the store: a peer is now left alone longer the more time it has cost. Remains: a fleet of one region whose watchers are all cut off waits for the digests.

--- a/src/edge/change_relay.cpp
+++ b/src/edge/change_relay.cpp
@@ -139,6 +139,11 @@
         answer(*ex, changes);
         return;
     }
+    if (request.wait_ms == 0)
+    {
+        answer(*ex, changes);
+        return;
+    }
     if (is_full())
     {
         proxy::respond(
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -178,8 +178,23 @@
         behind_since.reset();
     else if (!behind_since)
         behind_since = now();
-    else if (now() - *behind_since >= options.max_watch_lag &&
-             now() - last_relist >= options.revision_poll_interval)
+    else if (now() - *behind_since >= options.max_watch_lag)
+        catch_up();
+}
+
+void control_plane::catch_up()
+{
+    const auto it =
+        peer_ahead ? fleet.peers.find(*peer_ahead) : fleet.peers.end();
+    if (it != fleet.peers.end())
+        feed->catch_up({it->second.record.address, it->second.record.peer_port},
+                       newest_revision);
+    // A peer sends only what has changed.
+    const auto patience = it == fleet.peers.end() || !preferred_relay
+                              ? milliseconds(0)
+                              : options.feed.peer_watch_wait;
+    if (now() - *behind_since >= options.max_watch_lag + patience &&
+        now() - last_relist >= options.revision_poll_interval)
         relist();
 }
 
@@ -192,10 +207,13 @@
 void control_plane::update_watch_source(
     const std::vector<const peer_state*>& live)
 {
-    const auto relays =
-        choose_relays(fleet, live,
-                      {self.region, store_reachable(), self.link_mbps,
-                       options.min_relay_fleet_size});
+    const relay_criteria criteria{self.region, store_reachable(),
+                                  self.link_mbps, options.min_relay_fleet_size};
+    store_watchers.clear();
+    std::ranges::transform(find_store_watchers(fleet, live, criteria),
+                           std::back_inserter(store_watchers),
+                           [](const peer_state* it) { return it->record; });
+    const auto relays = choose_relays(fleet, live, criteria);
     const auto preferred = relays.empty()
                                ? std::nullopt
                                : std::optional(relays.front()->record.id);
@@ -213,6 +231,20 @@
     feed->watch_peers(std::move(endpoints));
 }
 
+void control_plane::notify_store_watchers()
+{
+    if (!notice_due || now() - last_notice < options.notice_interval ||
+        drain_started_at)
+        return;
+    notice_due = false;
+    last_notice = now();
+    if (store_watchers.empty())
+        return;
+    const auto bytes = pack_value(make_digest(last_report));
+    std::ranges::for_each(store_watchers,
+                          [&](const member_record& it) { send_to(it, bytes); });
+}
+
 void control_plane::poll_revision()
 {
     if (now() - last_revision_poll < options.revision_poll_interval)
@@ -385,6 +417,11 @@
     }
     if (changes.entries.empty())
         return;
+    if (source == "store")
+    {
+        notice_due = true;
+        notify_store_watchers();
+    }
     schedule_removals();
     publish();
 }
@@ -604,6 +641,8 @@
             known != fleet.peers.end() && known->second.digest.leaving;
         if (!apply_digest(fleet, digest, now()))
             return;
+        if (digest.store_revision >= newest_revision)
+            peer_ahead = digest.id;
         note_revision(digest.store_revision);
         for (const auto& it : digest.rollouts)
             if (it.fault)
@@ -723,6 +762,7 @@
     relay.expire_watches(now());
     const auto live = live_peers(fleet, options.fleet, now());
     update_watch_source(live);
+    notify_store_watchers();
     std::vector<instance_id> ids{self.id};
     for (const auto* peer : live)
         ids.push_back(peer->record.id);
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -68,6 +68,8 @@
     // Time for which the watch may lag behind a known revision before this
     // instance lists all keys again.
     milliseconds max_watch_lag{500};
+    // Shortest time between two digests to the instances that watch the store.
+    milliseconds notice_interval{200};
     // Fractions of the grace time after which a draining instance accepts no
     // further connections, and after which the process exits even if requests
     // are still in progress.
@@ -116,6 +118,12 @@
     void update_watch_source(const std::vector<const peer_state*>& live);
     bool store_reachable() const;
     void poll_revision();
+    // Asks the peer that is ahead for the changes, and lists all keys again if
+    // that does not help.
+    void catch_up();
+    // Tells the instances that watch the store for their regions of changes
+    // that this instance has got from the store.
+    void notify_store_watchers();
     void note_revision(revision seen);
     void relist();
 
@@ -202,6 +210,13 @@
     change_relay relay;
     // Preferred peer to get the changes of the store from.
     std::optional<instance_id> preferred_relay;
+    // The instances that watch the store for their regions, and whether and
+    // when they were told of changes.
+    std::vector<member_record> store_watchers;
+    bool notice_due = false;
+    time_point last_notice{};
+    // The peer that has reported the newest revision.
+    std::optional<instance_id> peer_ahead;
     std::unique_ptr<proxy::front_listener> relay_listener;
 
     state_confirmation confirmation;
--- a/src/edge/relay_tree.cpp
+++ b/src/edge/relay_tree.cpp
@@ -38,6 +38,12 @@
             rendezvous_weight("store relay", peer.record.id.value)};
 }
 
+tree_node make_own_node(const instance_id& self, const relay_criteria& criteria)
+{
+    return {nullptr, criteria.store_reachable, criteria.link_mbps,
+            rendezvous_weight("store relay", self.value)};
+}
+
 // Sorts the instances that reach the store first, then by descending bandwidth.
 // Each instance comes after its relay, so that instances that know the same
 // fleet can't watch each other in a circle.
@@ -138,9 +144,7 @@
     if (criteria.store_reachable &&
         live.size() + 1 < criteria.min_relay_fleet_size)
         return {};
-    std::vector<tree_node> nodes{
-        {nullptr, criteria.store_reachable, criteria.link_mbps,
-         rendezvous_weight("store relay", fleet.self.value)}};
+    std::vector<tree_node> nodes{make_own_node(fleet.self, criteria)};
     for (const auto* it : live)
         if (it->record.region == criteria.region)
             nodes.push_back(make_node(*it));
@@ -157,4 +161,27 @@
     return by_preference(fleet.self, elsewhere);
 }
 
+std::vector<const peer_state*>
+find_store_watchers(const fleet_view& fleet,
+                    const std::vector<const peer_state*>& live,
+                    const relay_criteria& criteria)
+{
+    if (live.size() + 1 < criteria.min_relay_fleet_size)
+        return {};
+    std::map<region_id, std::vector<tree_node>> regions;
+    regions[criteria.region].push_back(make_own_node(fleet.self, criteria));
+    for (const auto* it : live)
+        regions[it->record.region].push_back(make_node(*it));
+    std::vector<const peer_state*> watchers;
+    for (auto& [region, nodes] : regions)
+    {
+        sort_nodes(nodes);
+        for (const auto& it :
+             std::span<const tree_node>(nodes).first(count_roots(nodes)))
+            if (it.peer != nullptr)
+                watchers.push_back(it.peer);
+    }
+    return watchers;
+}
+
 } // namespace parsleyplank::edge
--- a/src/edge/relay_tree.hpp
+++ b/src/edge/relay_tree.hpp
@@ -46,6 +46,14 @@
               const std::vector<const peer_state*>& live,
               const relay_criteria& criteria);
 
+// Returns the peers that watch the store for the instances of their regions;
+// none in a fleet so small that all instances watch it. They tell each other of
+// changes, so that those which are cut off from the store miss none.
+std::vector<const peer_state*>
+find_store_watchers(const fleet_view& fleet,
+                    const std::vector<const peer_state*>& live,
+                    const relay_criteria& criteria);
+
 } // namespace parsleyplank::edge
 
 #endif
--- a/src/edge/store_feed.cpp
+++ b/src/edge/store_feed.cpp
@@ -39,7 +39,10 @@
             if (known_revision == revision(0))
                 list();
             else
+            {
+                ask_peer_ahead();
                 watch();
+            }
         }
         catch (const store::history_lost& ec)
         {
@@ -68,6 +71,34 @@
     selected_peers = std::move(peers);
 }
 
+void store_feed::catch_up(const steering::server_endpoint& peer,
+                          revision newest)
+{
+    const std::lock_guard lock(peer_mutex);
+    peer_ahead = {peer, newest};
+}
+
+void store_feed::ask_peer_ahead()
+{
+    const auto ahead = [this]
+    {
+        const std::lock_guard lock(peer_mutex);
+        return std::exchange(peer_ahead, std::nullopt);
+    }();
+    if (!ahead || known_revision >= ahead->second)
+        return;
+    try
+    {
+        deliver_changes(connect(ahead->first)
+                            ->watch(prefix, known_revision, milliseconds(0)),
+                        format_endpoint(ahead->first));
+    }
+    catch (const error& ec)
+    {
+        handlers.peer_failed(ec.what());
+    }
+}
+
 std::optional<steering::server_endpoint> store_feed::choose_peer()
 {
     const auto now = std::chrono::steady_clock::now();
@@ -95,16 +126,20 @@
         connected_peer = wanted;
     }
     if (wanted && !peer)
-    {
-        store::http_settings where;
-        where.address = wanted->address;
-        where.port = wanted->port;
-        where.silence_timeout = options.peer_silence_timeout;
-        peer = std::make_unique<store::http_kv_store>(where);
-    }
+        peer = connect(*wanted);
     return peer.get();
 }
 
+std::unique_ptr<store::kv_store>
+store_feed::connect(const steering::server_endpoint& where) const
+{
+    store::http_settings settings;
+    settings.address = where.address;
+    settings.port = where.port;
+    settings.silence_timeout = options.peer_silence_timeout;
+    return std::make_unique<store::http_kv_store>(settings);
+}
+
 void store_feed::watch()
 {
     auto* const relay = connect_peer();
@@ -116,6 +151,7 @@
         deliver_changes(std::move(changes), "store");
         return;
     }
+    const auto started = std::chrono::steady_clock::now();
     try
     {
         deliver_changes(
@@ -124,9 +160,12 @@
     }
     catch (const error& ec)
     {
+        constexpr int pause_per_time_lost = 4;
         handlers.peer_failed(ec.what());
+        const auto failed = std::chrono::steady_clock::now();
         paused_peers[*connected_peer] =
-            std::chrono::steady_clock::now() + options.peer_retry_delay;
+            failed + options.peer_retry_delay +
+            (failed - started) * pause_per_time_lost;
     }
 }
 
--- a/src/edge/store_feed.hpp
+++ b/src/edge/store_feed.hpp
@@ -34,7 +34,8 @@
     // selected in the meantime.
     milliseconds peer_watch_wait{1'000};
     // Time after a failure of a peer during which the next peer, or the store,
-    // is watched instead.
+    // is watched instead. It grows with the time that the failure has taken, so
+    // that two silent peers don't keep the feed from the store.
     milliseconds peer_retry_delay{2'000};
     // Time without data on a connection to a peer after which the connection is
     // considered broken.
@@ -72,6 +73,10 @@
     // fail. May be called from any thread.
     void watch_peers(std::vector<steering::server_endpoint> peers);
 
+    // Asks this peer once for the changes up to the revision, if the current
+    // watch has not brought them by its end. May be called from any thread.
+    void catch_up(const steering::server_endpoint& peer, revision newest);
+
     store_feed(const store_feed&) = delete;
     store_feed& operator=(const store_feed&) = delete;
 
@@ -83,7 +88,11 @@
     // Returns a client for the peer to watch, or nullptr if the store is to be
     // watched.
     store::kv_store* connect_peer();
+    std::unique_ptr<store::kv_store>
+    connect(const steering::server_endpoint& where) const;
     std::optional<steering::server_endpoint> choose_peer();
+    // Asks the peer of catch_up, if it is needed.
+    void ask_peer_ahead();
 
     std::unique_ptr<store::lease_store> source;
     std::string prefix;
@@ -94,6 +103,8 @@
     revision known_revision;
     std::mutex peer_mutex;
     std::vector<steering::server_endpoint> selected_peers;
+    // A peer that has changes up to this revision.
+    std::optional<std::pair<steering::server_endpoint, revision>> peer_ahead;
     std::optional<steering::server_endpoint> connected_peer;
     std::unique_ptr<store::kv_store> peer;
     // Peers that have failed, and until when they are not tried again.
--- a/test/failure/edge_relay_loss.cpp
+++ b/test/failure/edge_relay_loss.cpp
@@ -29,7 +29,8 @@
     {
         relays,
         is_full,
-        is_silent
+        is_silent,
+        has_nothing_new
     };
 
     explicit scripted_relay(behavior what)
@@ -53,6 +54,11 @@
             return {};
         if (what == behavior::is_full)
             return {http_text("503 Service Unavailable", "full"), false};
+        if (what == behavior::has_nothing_new)
+            return {http_text("200 OK",
+                              pack_value(store::protocol::entries_response{
+                                  revision(1), {}})),
+                    false};
         const revision at(static_cast<std::uint64_t>(100 + watches));
         return {
             http_text("200 OK", pack_value(store::protocol::entries_response{
@@ -70,6 +76,8 @@
     CPPUNIT_TEST(a_full_relay_is_replaced_by_another_one);
     CPPUNIT_TEST(a_silent_relay_is_replaced_within_the_contact_bound);
     CPPUNIT_TEST(without_any_relay_the_store_is_watched);
+    CPPUNIT_TEST(two_silent_relays_do_not_keep_the_feed_from_the_store);
+    CPPUNIT_TEST(a_peer_that_is_ahead_is_asked_once);
     CPPUNIT_TEST_SUITE_END();
 
     using behavior = scripted_relay::behavior;
@@ -171,6 +179,36 @@
         CPPUNIT_ASSERT(eventually([this] { return store_changes == 2; }));
         CPPUNIT_ASSERT_EQUAL(0, relayed_changes.load());
     }
+
+    // Failure scenario: the first relay was tried again as soon as the second
+    // one had been given up.
+    void two_silent_relays_do_not_keep_the_feed_from_the_store()
+    {
+        const scripted_relay silent(behavior::is_silent);
+        const scripted_relay other(behavior::is_silent);
+        follow({silent.endpoint(), other.endpoint()});
+        write_key(*data, "key", "value");
+        CPPUNIT_ASSERT(eventually([this] { return store_changes == 2; }));
+        CPPUNIT_ASSERT_EQUAL(1, silent.watches.load());
+        CPPUNIT_ASSERT_EQUAL(1, other.watches.load());
+    }
+
+    // Failure scenario: a region had no changes while the instances that watch
+    // the store for it were cut off from the store.
+    void a_peer_that_is_ahead_is_asked_once()
+    {
+        const scripted_relay behind(behavior::has_nothing_new);
+        const scripted_relay ahead(behavior::relays);
+        follow({behind.endpoint()});
+        const auto newest = revision(101);
+        feed->catch_up(ahead.endpoint(), newest);
+        CPPUNIT_ASSERT(eventually([this] { return relayed_changes == 1; }));
+        feed->catch_up(ahead.endpoint(), newest);
+        const auto watches = behind.watches.load();
+        CPPUNIT_ASSERT(
+            eventually([&] { return behind.watches > watches + 1; }));
+        CPPUNIT_ASSERT_EQUAL(1, ahead.watches.load());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(edge_relay_loss);
--- a/test/support/memory_store.cpp
+++ b/test/support/memory_store.cpp
@@ -47,13 +47,33 @@
     data.changed.notify_all();
 }
 
-memory_store::memory_store(std::shared_ptr<memory_store_data> shared)
-    : data(std::move(shared))
+void cut_off(memory_store_data& data, const store_cut& clients)
 {
+    const guard lock(data.mutex);
+    *clients = true;
+    data.changed.notify_all();
+}
+
+memory_store::memory_store(std::shared_ptr<memory_store_data> shared,
+                           store_cut chosen)
+    : data(std::move(shared)), cut(std::move(chosen))
+{
+}
+
+bool memory_store::is_cut_off() const
+{
+    return cut && *cut;
+}
+
+void memory_store::check_reachable() const
+{
+    if (is_cut_off())
+        throw store_unavailable("cut off");
 }
 
 store::read_result memory_store::get(const std::string& key)
 {
+    check_reachable();
     const guard lock(data->mutex);
     const auto it = data->entries.find(key);
     return {it == data->entries.end() ? std::nullopt
@@ -63,6 +83,7 @@
 
 store::list_result memory_store::list(const std::string& prefix)
 {
+    check_reachable();
     const guard lock(data->mutex);
     store::list_result result{{}, newest(*data)};
     for (const auto& [key, it] : data->entries)
@@ -77,8 +98,13 @@
     guard lock(data->mutex);
     ++data->watches;
     data->changed.wait_for(
-        lock, wait, [&] { return data->closed || newest(*data) > after; });
+        lock, wait,
+        [&] { return data->closed || is_cut_off() || newest(*data) > after; });
+    if (is_cut_off())
+        data->changed.wait_for(lock, watch_silence_timeout,
+                               [&] { return data->closed; });
     --data->watches;
+    check_reachable();
     if (data->closed)
         throw store_unavailable("closed");
     store::list_result result{{}, newest(*data)};
@@ -90,6 +116,7 @@
 
 store::commit_outcome memory_store::commit(const store::transaction& changes)
 {
+    check_reachable();
     const guard lock(data->mutex);
     const bool matching = std::ranges::all_of(
         changes.expected,
@@ -124,6 +151,7 @@
 
 store::lease_id memory_store::grant_lease(milliseconds /*ttl*/)
 {
+    check_reachable();
     const guard lock(data->mutex);
     ++data->newest_lease.value;
     data->live_leases.insert(data->newest_lease);
@@ -132,6 +160,7 @@
 
 bool memory_store::renew_lease(store::lease_id lease)
 {
+    check_reachable();
     const guard lock(data->mutex);
     const bool live = data->live_leases.contains(lease);
     data->renewals += live ? 1 : 0;
@@ -140,6 +169,7 @@
 
 void memory_store::end_lease(store::lease_id lease)
 {
+    check_reachable();
     const guard lock(data->mutex);
     data->live_leases.erase(lease);
     std::vector<std::string> keys;
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -2,11 +2,12 @@
 #define PARSLEYPLANK_TEST_SUPPORT_MEMORY_STORE_HPP
 
 // A store with leases in the test's own process, which the threads of several
-// instances use at the same time. It is always reachable, its watches wait for
-// real time, and leases end only by a call.
+// instances use at the same time. It is reachable unless a client is cut off,
+// its watches wait for real time, and leases end only by a call.
 
 #include <parsleyplank/store/lease_store.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -45,10 +46,20 @@
 // Lets the watches that wait and all later ones fail at once.
 void close_store(memory_store_data& data);
 
+// Whether the clients that share it are cut off from the store.
+using store_cut = std::shared_ptr<std::atomic<bool>>;
+
+// Cuts the clients off. Their calls fail, those that wait after
+// watch_silence_timeout.
+void cut_off(memory_store_data& data, const store_cut& clients);
+
 class memory_store final : public store::lease_store
 {
 public:
-    explicit memory_store(std::shared_ptr<memory_store_data> shared);
+    static constexpr milliseconds watch_silence_timeout{2'000};
+
+    explicit memory_store(std::shared_ptr<memory_store_data> shared,
+                          store_cut cut = {});
 
     store::read_result get(const std::string& key) override;
     store::list_result list(const std::string& prefix) override;
@@ -68,7 +79,12 @@
                                            revision expected) override;
 
 private:
+    bool is_cut_off() const;
+    // Throws store_unavailable if the client is cut off.
+    void check_reachable() const;
+
     std::shared_ptr<memory_store_data> data;
+    store_cut cut;
 };
 
 } // namespace parsleyplank::test
--- a/test/support/whole_instance.hpp
+++ b/test/support/whole_instance.hpp
@@ -28,8 +28,9 @@
     whole_instance(int number, const std::string& region,
                    const edge::adapter& adapter,
                    const std::shared_ptr<memory_store_data>& data,
-                   const edge::control_options& options)
+                   const edge::control_options& options, double link_mbps = 0)
     {
+        config.link_mbps = link_mbps;
         config.id = instance_id("edge-" + std::to_string(number));
         config.region = region_id(region);
         config.domain = failure_domain_id(region + "-a");
@@ -41,8 +42,9 @@
             std::make_unique<edge::traffic_plane>(config, adapter, counters);
         control = std::make_unique<edge::control_plane>(
             config, adapter,
-            [data] { return std::make_unique<memory_store>(data); }, *traffic,
-            counters, options);
+            [data, cut = cut]
+            { return std::make_unique<memory_store>(data, cut); },
+            *traffic, counters, options);
         thread = std::thread([this] { control->run(); });
     }
 
@@ -61,6 +63,11 @@
             thread.join();
     }
 
+    void cut_off_from_store(memory_store_data& data)
+    {
+        cut_off(data, cut);
+    }
+
     // Sends a read of the object; returns the status.
     int read(const std::string& object) const
     {
@@ -82,6 +89,7 @@
 
 private:
     const instance_ports ports;
+    const store_cut cut = std::make_shared<std::atomic<bool>>(false);
     edge::settings config;
     telemetry::metrics counters;
     std::unique_ptr<edge::traffic_plane> traffic;
@@ -118,6 +126,20 @@
 
     // Adds a server on a loopback port; call before add_instance().
     void add_server(const std::string& region, std::uint16_t port)
+    {
+        register_server(describe_server(region, port));
+    }
+
+    // Writes the registration of a server.
+    void register_server(const backend_server_id& id)
+    {
+        write_key(*data, adapter.layout.server_prefix + id.value, "record");
+    }
+
+    // Describes a server on a loopback port, which is not registered yet; call
+    // before add_instance().
+    backend_server_id describe_server(const std::string& region,
+                                      std::uint16_t port)
     {
         steering::backend_server it;
         it.id =
@@ -128,7 +150,7 @@
         it.domain = failure_domain_id(region + "-a");
         it.slots = 4;
         described[it.id] = it;
-        write_key(*data, adapter.layout.server_prefix + it.id.value, "record");
+        return it.id;
     }
 
     std::string configuration_key() const
@@ -136,11 +158,11 @@
         return adapter.layout.configuration_key;
     }
 
-    void add_instance(const std::string& region)
+    void add_instance(const std::string& region, double link_mbps = 0)
     {
         const int number = static_cast<int>(instances.size()) + 1;
         instances.push_back(std::make_unique<whole_instance>(
-            number, region, adapter, data, options));
+            number, region, adapter, data, options, link_mbps));
     }
 
     // Stops all instances. Returns how long the last one took to end.
