Hand out no second burst when the holder of a customer's tokens changes

Two causes follow from the code: every instance of a region keeps a bucket for a customer with a small rate, and those of instances that do not hold the tokens fill up, so each change of the holder granted a whole burst; and with fewer members the rate was large enough to be divided among all instances, each of which had a token in stock.

Now a bucket of the region is empty unless this instance holds the tokens, and an instance starts without tokens when it becomes the holder, or when the way of dividing changes. The own part, which decides while the holder does not answer, is kept. Who holds what is computed only when the live instances of the region or the customers change.

--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -473,13 +473,89 @@
                   [&](const auto& it) { return !shares.contains(it.first); });
 }
 
+// Returns the instance of these that holds the customer's tokens.
+const steering::fleet_member*
+choose_holder(const std::vector<const steering::fleet_member*>& members,
+              const customer_id& customer)
+{
+    const auto it = std::ranges::max_element(
+        members, {},
+        [&](const steering::fleet_member* member)
+        { return rendezvous_weight(customer.value, member->id.value); });
+    return it == members.end() ? nullptr : *it;
+}
+
+std::vector<const steering::fleet_member*>
+members_of_region(const traffic_state& state)
+{
+    std::vector<const steering::fleet_member*> found;
+    for (const auto& it : state.snapshot->members)
+        if (it.region == state.config.region)
+            found.push_back(&it);
+    return found;
+}
+
+// Finds the customers whose tokens this instance holds. Does nothing as long as
+// the region has the same live instances and the same such customers.
+void update_held_customers(traffic_state& state)
+{
+    const auto members = members_of_region(state);
+    std::vector<instance_id> ids;
+    std::ranges::transform(members, std::back_inserter(ids),
+                           [](const auto* it) { return it->id; });
+    const auto& shares = state.snapshot->region_shares;
+    const bool same_customers =
+        shares.size() == state.region_customers.size() &&
+        std::ranges::all_of(
+            shares, [&](const auto& it)
+            { return state.region_customers.contains(it.first); });
+    if (same_customers && ids == state.region_members)
+        return;
+    state.region_members = std::move(ids);
+    state.region_customers.clear();
+    state.held_customers.clear();
+    for (const auto& [id, share] : shares)
+    {
+        state.region_customers.insert(id);
+        const auto* holder = choose_holder(members, id);
+        if (holder != nullptr && holder->id == state.config.id)
+            state.held_customers.insert(id);
+    }
+}
+
+// Replaces the parts of the customers' rates. Tokens that another instance may
+// have held until now, or that were held in another way, are not handed out a
+// second time.
+void adopt_shares(traffic_state& state, time_point now)
+{
+    const auto& regions = state.snapshot->region_shares;
+    std::vector<customer_id> now_divided;
+    std::unordered_set<customer_id> known_before;
+    for (const auto& [id, bucket] : state.buckets)
+    {
+        known_before.insert(id);
+        if (state.region_buckets.contains(id) && !regions.contains(id))
+            now_divided.push_back(id);
+    }
+    resize_buckets(state.buckets, state.snapshot->shares, now);
+    resize_buckets(state.region_buckets, regions, now);
+    for (const auto& id : now_divided)
+        if (const auto it = state.buckets.find(id); it != state.buckets.end())
+            it->second.level = tokens(0);
+    const auto held_before = state.held_customers;
+    update_held_customers(state);
+    for (auto& [id, bucket] : state.region_buckets)
+        if (!state.held_customers.contains(id) ||
+            (known_before.contains(id) && !held_before.contains(id)))
+            bucket.level = tokens(0);
+}
+
 } // namespace
 
 void adopt_snapshot(traffic_state& state, snapshot_ptr next, time_point now)
 {
     state.snapshot = std::move(next);
-    resize_buckets(state.buckets, state.snapshot->shares, now);
-    resize_buckets(state.region_buckets, state.snapshot->region_shares, now);
+    adopt_shares(state, now);
     state.customer_numbers.clear();
     for (const auto& [id, share] : state.snapshot->region_shares)
         state.customer_numbers[customer_number(id)] = id;
@@ -592,20 +668,7 @@
 {
     if (!state.snapshot->region_shares.contains(customer))
         return nullptr;
-    const steering::fleet_member* best = nullptr;
-    std::uint64_t highest = 0;
-    for (const auto& it : state.snapshot->members)
-    {
-        if (it.region != state.config.region)
-            continue;
-        const auto weight = rendezvous_weight(customer.value, it.id.value);
-        if (best == nullptr || weight > highest)
-        {
-            best = &it;
-            highest = weight;
-        }
-    }
-    return best;
+    return choose_holder(members_of_region(state), customer);
 }
 
 bool take_region_token(traffic_state& state, std::uint32_t customer,
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -63,8 +63,13 @@
     std::map<std::pair<route_id, service_id>, steering::service_times> times;
     std::unordered_map<customer_id, quota::token_bucket> buckets;
     // Tokens of this region that this instance holds for all instances of the
-    // region.
+    // region. Those of customers whose tokens another one holds are empty.
     std::unordered_map<customer_id, quota::token_bucket> region_buckets;
+    // Customers whose tokens this instance holds, and the live instances of the
+    // region and the customers in region_shares from which that follows.
+    std::unordered_set<customer_id> held_customers;
+    std::vector<instance_id> region_members;
+    std::unordered_set<customer_id> region_customers;
     // Customers in region_shares by their number in messages.
     std::unordered_map<std::uint32_t, customer_id> customer_numbers;
     std::unordered_map<customer_id, steering::demand_meter> meters;
