End watches of the store soon in a large fleet, and let only its watchers ask peers

TCP probes don't help where the path is cut behind the machine's own end.

In a fleet with relays a watch of the store now waits 1 s; two instances a region make that call.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -186,13 +186,13 @@
 {
     const auto it =
         peer_ahead ? fleet.peers.find(*peer_ahead) : fleet.peers.end();
-    if (it != fleet.peers.end())
+    if (is_store_watcher && it != fleet.peers.end())
         feed->catch_up({it->second.record.address, it->second.record.peer_port},
                        newest_revision);
-    // A peer sends only what has changed.
-    const auto patience = it == fleet.peers.end() || !preferred_relay
-                              ? milliseconds(0)
-                              : options.feed.peer_watch_wait;
+    // The others get the changes from those that watch the store, and with less
+    // data than a listing has.
+    const auto patience =
+        is_store_watcher ? milliseconds(0) : options.feed.peer_watch_wait;
     if (now() - *behind_since >= options.max_watch_lag + patience &&
         now() - last_relist >= options.revision_poll_interval)
         relist();
@@ -214,6 +214,10 @@
                            std::back_inserter(store_watchers),
                            [](const peer_state* it) { return it->record; });
     const auto relays = choose_relays(fleet, live, criteria);
+    auto in_touch = criteria;
+    in_touch.store_reachable = true;
+    is_store_watcher = choose_relays(fleet, live, in_touch).empty();
+    const bool is_large = live.size() + 1 >= options.min_relay_fleet_size;
     const auto preferred = relays.empty()
                                ? std::nullopt
                                : std::optional(relays.front()->record.id);
@@ -228,7 +232,9 @@
                                return steering::server_endpoint{
                                    it->record.address, it->record.peer_port};
                            });
-    feed->watch_peers(std::move(endpoints));
+    feed->watch_peers(std::move(endpoints), is_large
+                                                ? options.feed.shared_watch_wait
+                                                : options.feed.watch_wait);
 }
 
 void control_plane::notify_store_watchers()
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -215,7 +215,9 @@
     std::vector<member_record> store_watchers;
     bool notice_due = false;
     time_point last_notice{};
-    // The peer that has reported the newest revision.
+    // Whether the place of this instance in the tree of relays is one that
+    // watches the store, and the peer that has reported the newest revision.
+    bool is_store_watcher = true;
     std::optional<instance_id> peer_ahead;
     std::unique_ptr<proxy::front_listener> relay_listener;
 
--- a/src/edge/store_feed.cpp
+++ b/src/edge/store_feed.cpp
@@ -20,7 +20,8 @@
                        std::string watched, feed_options chosen,
                        feed_handlers receivers)
     : source(std::move(from)), prefix(std::move(watched)), options(chosen),
-      handlers(std::move(receivers)), thread([this] { run(); })
+      handlers(std::move(receivers)), store_wait(options.watch_wait),
+      thread([this] { run(); })
 {
 }
 
@@ -65,10 +66,12 @@
     handlers.listed(std::move(all));
 }
 
-void store_feed::watch_peers(std::vector<steering::server_endpoint> peers)
+void store_feed::watch_peers(std::vector<steering::server_endpoint> peers,
+                             milliseconds store_watch_wait)
 {
     const std::lock_guard lock(peer_mutex);
     selected_peers = std::move(peers);
+    store_wait = store_watch_wait;
 }
 
 void store_feed::catch_up(const steering::server_endpoint& peer,
@@ -145,8 +148,12 @@
     auto* const relay = connect_peer();
     if (relay == nullptr)
     {
-        auto changes =
-            source->watch(prefix, known_revision, options.watch_wait);
+        const auto wait = [this]
+        {
+            const std::lock_guard lock(peer_mutex);
+            return store_wait;
+        }();
+        auto changes = source->watch(prefix, known_revision, wait);
         handlers.store_answered();
         deliver_changes(std::move(changes), "store");
         return;
--- a/src/edge/store_feed.hpp
+++ b/src/edge/store_feed.hpp
@@ -25,6 +25,9 @@
 {
     // Wait time of one watch of the store, which counts as one call there.
     milliseconds watch_wait{25'000};
+    // The same for an instance that watches the store for others: a watch that
+    // the store no longer answers must end soon.
+    milliseconds shared_watch_wait{1'000};
     // Pause after a change, so that changes in quick succession arrive as one
     // batch.
     milliseconds batch_delay{60};
@@ -71,7 +74,9 @@
     // on. The store is watched if there are none, or if all have failed. A peer
     // that is being watched is kept as long as it is selected and does not
     // fail. May be called from any thread.
-    void watch_peers(std::vector<steering::server_endpoint> peers);
+    // Watches of the store wait for the given time.
+    void watch_peers(std::vector<steering::server_endpoint> peers,
+                     milliseconds store_watch_wait);
 
     // Asks this peer once for the changes up to the revision, if the current
     // watch has not brought them by its end. May be called from any thread.
@@ -103,6 +108,7 @@
     revision known_revision;
     std::mutex peer_mutex;
     std::vector<steering::server_endpoint> selected_peers;
+    milliseconds store_wait;
     // A peer that has changes up to this revision.
     std::optional<std::pair<steering::server_endpoint, revision>> peer_ahead;
     std::optional<steering::server_endpoint> connected_peer;
