--- a/src/edge/rate_division.cpp
+++ b/src/edge/rate_division.cpp
@@ -1,5 +1,7 @@
 #include <parsleyplank/edge/rate_division.hpp>
 
+#include <set>
+
 namespace parsleyplank::edge
 {
 
--- a/src/edge/rate_division.hpp
+++ b/src/edge/rate_division.hpp
@@ -8,6 +8,7 @@
 
 #include <parsleyplank/edge/fleet_view.hpp>
 
+#include <map>
 #include <unordered_map>
 #include <vector>
 
--- a/src/edge/store_feed.cpp
+++ b/src/edge/store_feed.cpp
@@ -2,6 +2,7 @@
 #include <parsleyplank/store/http_kv_store.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace parsleyplank::edge
 {
