Let the servers of a test say that they close their connections

Cause: the test wants a request that needs a new connection while no descriptor is free. Its servers closed each connection without a word; an instance that had not seen that yet sent the request on the kept connection, which was then lost: 502 is the true answer to that. The servers now send Connection: close. The checks are the same.

--- a/test/failure/edge_descriptor_shortage.cpp
+++ b/test/failure/edge_descriptor_shortage.cpp
@@ -89,8 +89,13 @@
                 [this, &count](const std::string& request)
                 {
                     ++count;
-                    return scripted_response{echo_response(request, "ok"),
-                                             servers_close};
+                    auto response = echo_response(request, "ok");
+                    // So that the instance does not keep the connection, even
+                    // if it has not seen yet that it is closed.
+                    if (servers_close)
+                        response.insert(response.find("\r\n"),
+                                        "\r\nConnection: close");
+                    return scripted_response{response, servers_close};
                 });
         edge->publish();
     }
