Look the holder of a customer's tokens up instead of choosing it anew

Now the holder of each customer is computed when the region's live instances or these customers change, and everything else follows from that. Behaviour is the same; the tests of edge_token_holder and edge_token_exchange are unchanged.

--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <limits>
 #include <sstream>
+#include <unordered_set>
 
 namespace parsleyplank::edge
 {
@@ -473,56 +474,41 @@
                   [&](const auto& it) { return !shares.contains(it.first); });
 }
 
-// Returns the instance of these that holds the customer's tokens.
-const steering::fleet_member*
-choose_holder(const std::vector<const steering::fleet_member*>& members,
-              const customer_id& customer)
+// Finds the holders of the customers' tokens. Does nothing as long as the
+// region has the same live instances and the same customers with small rates.
+void update_token_holders(traffic_state& state)
 {
-    const auto it = std::ranges::max_element(
-        members, {},
-        [&](const steering::fleet_member* member)
-        { return rendezvous_weight(customer.value, member->id.value); });
-    return it == members.end() ? nullptr : *it;
-}
-
-std::vector<const steering::fleet_member*>
-members_of_region(const traffic_state& state)
-{
-    std::vector<const steering::fleet_member*> found;
-    for (const auto& it : state.snapshot->members)
-        if (it.region == state.config.region)
-            found.push_back(&it);
-    return found;
-}
-
-// Finds the customers whose tokens this instance holds. Does nothing as long as
-// the region has the same live instances and the same such customers.
-void update_held_customers(traffic_state& state)
-{
-    const auto members = members_of_region(state);
-    std::vector<instance_id> ids;
-    std::ranges::transform(members, std::back_inserter(ids),
-                           [](const auto* it) { return it->id; });
+    std::vector<steering::fleet_member> members;
+    std::ranges::copy_if(state.snapshot->members, std::back_inserter(members),
+                         [&](const steering::fleet_member& it)
+                         { return it.region == state.config.region; });
     const auto& shares = state.snapshot->region_shares;
     const bool same_customers =
-        shares.size() == state.region_customers.size() &&
-        std::ranges::all_of(
-            shares, [&](const auto& it)
-            { return state.region_customers.contains(it.first); });
-    if (same_customers && ids == state.region_members)
+        shares.size() == state.token_holders.size() &&
+        std::ranges::all_of(shares, [&](const auto& it)
+                            { return state.token_holders.contains(it.first); });
+    if (same_customers && members == state.region_members)
         return;
-    state.region_members = std::move(ids);
-    state.region_customers.clear();
-    state.held_customers.clear();
-    for (const auto& [id, share] : shares)
+    state.region_members = std::move(members);
+    state.token_holders.clear();
+    if (state.region_members.empty())
+        return;
+    for (const auto& it : shares)
     {
-        state.region_customers.insert(id);
-        const auto* holder = choose_holder(members, id);
-        if (holder != nullptr && holder->id == state.config.id)
-            state.held_customers.insert(id);
+        const auto& customer = it.first;
+        state.token_holders[customer] = *std::ranges::max_element(
+            state.region_members, {},
+            [&](const steering::fleet_member& member)
+            { return rendezvous_weight(customer.value, member.id.value); });
     }
 }
 
+bool holds_tokens(const traffic_state& state, const customer_id& customer)
+{
+    const auto* holder = token_holder_of(state, customer);
+    return holder != nullptr && holder->id == state.config.id;
+}
+
 // Replaces the parts of the customers' rates. Tokens that another instance may
 // have held until now, or that were held in another way, are not handed out a
 // second time.
@@ -530,24 +516,25 @@
 {
     const auto& regions = state.snapshot->region_shares;
     std::vector<customer_id> now_divided;
-    std::unordered_set<customer_id> known_before;
-    for (const auto& [id, bucket] : state.buckets)
+    std::unordered_set<customer_id> held_before;
+    for (const auto& [id, bucket] : state.region_buckets)
     {
-        known_before.insert(id);
-        if (state.region_buckets.contains(id) && !regions.contains(id))
+        if (!regions.contains(id))
             now_divided.push_back(id);
+        if (holds_tokens(state, id))
+            held_before.insert(id);
     }
-    resize_buckets(state.buckets, state.snapshot->shares, now);
+    update_token_holders(state);
     resize_buckets(state.region_buckets, regions, now);
+    // The instances' own parts still are those of the last snapshot.
+    for (auto& [id, bucket] : state.region_buckets)
+        if (!holds_tokens(state, id) ||
+            (state.buckets.contains(id) && !held_before.contains(id)))
+            bucket.level = tokens(0);
+    resize_buckets(state.buckets, state.snapshot->shares, now);
     for (const auto& id : now_divided)
         if (const auto it = state.buckets.find(id); it != state.buckets.end())
             it->second.level = tokens(0);
-    const auto held_before = state.held_customers;
-    update_held_customers(state);
-    for (auto& [id, bucket] : state.region_buckets)
-        if (!state.held_customers.contains(id) ||
-            (known_before.contains(id) && !held_before.contains(id)))
-            bucket.level = tokens(0);
 }
 
 } // namespace
@@ -666,9 +653,8 @@
 const steering::fleet_member* token_holder_of(const traffic_state& state,
                                               const customer_id& customer)
 {
-    if (!state.snapshot->region_shares.contains(customer))
-        return nullptr;
-    return choose_holder(members_of_region(state), customer);
+    const auto it = state.token_holders.find(customer);
+    return it == state.token_holders.end() ? nullptr : &it->second;
 }
 
 bool take_region_token(traffic_state& state, std::uint32_t customer,
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -16,6 +16,8 @@
 
 #include <random>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace parsleyplank::edge
 {
@@ -65,11 +67,10 @@
     // Tokens of this region that this instance holds for all instances of the
     // region. Those of customers whose tokens another one holds are empty.
     std::unordered_map<customer_id, quota::token_bucket> region_buckets;
-    // Customers whose tokens this instance holds, and the live instances of the
-    // region and the customers in region_shares from which that follows.
-    std::unordered_set<customer_id> held_customers;
-    std::vector<instance_id> region_members;
-    std::unordered_set<customer_id> region_customers;
+    // The live instances of the region, and the one of them that holds the
+    // tokens of each customer in region_shares.
+    std::vector<steering::fleet_member> region_members;
+    std::unordered_map<customer_id, steering::fleet_member> token_holders;
     // Customers in region_shares by their number in messages.
     std::unordered_map<std::uint32_t, customer_id> customer_numbers;
     std::unordered_map<customer_id, steering::demand_meter> meters;
--- a/src/steering/rate_share.hpp
+++ b/src/steering/rate_share.hpp
@@ -24,6 +24,8 @@
     region_id region;
     // Endpoint that receives the datagrams that request tokens of customers.
     server_endpoint token_endpoint;
+
+    bool operator==(const fleet_member&) const = default;
 };
 
 // Maximum number of instances that send to one cold server. Each may start with
