Find the watchers of the store when they are told of a change

Each instance sorted its fleet and copied the records of all watchers every 500 ms; only those that watch the store themselves use them, when they send a notice.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -204,15 +204,16 @@
            now() - last_store_response < options.store_contact_timeout;
 }
 
+relay_criteria control_plane::own_criteria() const
+{
+    return {self.region, store_reachable(), self.link_mbps,
+            options.min_relay_fleet_size};
+}
+
 void control_plane::update_watch_source(
     const std::vector<const peer_state*>& live)
 {
-    const relay_criteria criteria{self.region, store_reachable(),
-                                  self.link_mbps, options.min_relay_fleet_size};
-    store_watchers.clear();
-    std::ranges::transform(find_store_watchers(fleet, live, criteria),
-                           std::back_inserter(store_watchers),
-                           [](const peer_state* it) { return it->record; });
+    const auto criteria = own_criteria();
     const auto relays = choose_relays(fleet, live, criteria);
     auto in_touch = criteria;
     in_touch.store_reachable = true;
@@ -244,11 +245,13 @@
         return;
     notice_due = false;
     last_notice = now();
-    if (store_watchers.empty())
+    const auto watchers = find_store_watchers(
+        fleet, live_peers(fleet, options.fleet, now()), own_criteria());
+    if (watchers.empty())
         return;
     const auto bytes = pack_value(make_digest(last_report));
-    std::ranges::for_each(store_watchers,
-                          [&](const member_record& it) { send_to(it, bytes); });
+    std::ranges::for_each(watchers, [&](const peer_state* it)
+                          { send_to(it->record, bytes); });
 }
 
 void control_plane::poll_revision()
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -124,6 +124,8 @@
     // Tells the instances that watch the store for their regions of changes
     // that this instance has got from the store.
     void notify_store_watchers();
+    // Returns what the place of this instance in the tree of relays depends on.
+    relay_criteria own_criteria() const;
     void note_revision(revision seen);
     void relist();
 
@@ -210,9 +212,8 @@
     change_relay relay;
     // Preferred peer to get the changes of the store from.
     std::optional<instance_id> preferred_relay;
-    // The instances that watch the store for their regions, and whether and
-    // when they were told of changes.
-    std::vector<member_record> store_watchers;
+    // Whether the instances that watch the store for their regions are to be
+    // told of changes, and when they last were.
     bool notice_due = false;
     time_point last_notice{};
     // Whether the place of this instance in the tree of relays is one that
