--- a/src/edge/change_relay.cpp
+++ b/src/edge/change_relay.cpp
@@ -134,12 +134,7 @@
         return;
     }
     auto changes = changes_after(request.prefix, request.after);
-    if (!changes.entries.empty())
-    {
-        answer(*ex, changes);
-        return;
-    }
-    if (request.wait_ms == 0)
+    if (!changes.entries.empty() || request.wait_ms == 0)
     {
         answer(*ex, changes);
         return;
