--- a/src/edge/rate_division.cpp
+++ b/src/edge/rate_division.cpp
@@ -8,18 +8,14 @@
 namespace
 {
 
-double demand_of(const demand_table& demands, std::uint32_t customer)
+// Returns the demand for the key, 0 if there is none.
+template <typename Key>
+double demand_of(const std::unordered_map<Key, double>& demands, const Key& key)
 {
-    const auto it = demands.find(customer);
+    const auto it = demands.find(key);
     return it == demands.end() ? 0 : it->second;
 }
 
-double own_demand(const division_inputs& inputs, const customer_id& customer)
-{
-    const auto it = inputs.own_demands.find(customer);
-    return it == inputs.own_demands.end() ? 0 : it->second;
-}
-
 // Returns the share of this region in a customer's rate. A region takes part if
 // it has a live member, or a peer that reports a demand.
 steering::customer_share
@@ -28,7 +24,7 @@
              const peer_demand_sums& peers, const division_inputs& inputs)
 {
     const auto number = customer_number(customer.id);
-    auto own = own_demand(inputs, customer.id);
+    auto own = demand_of(inputs.own_demands, customer.id);
     steering::demand_sum others;
     others.reporting = live_regions.size();
     for (const auto& [region, demands] : peers.by_region)
@@ -85,9 +81,9 @@
         const steering::demand_sum others{
             demand_of(peers.total, customer_number(customer.id)),
             peers.responsive, peers.silent};
-        snapshot.shares[customer.id] =
-            steering::divide_rate(customer.rate, customer.burst,
-                                  own_demand(inputs, customer.id), others);
+        snapshot.shares[customer.id] = steering::divide_rate(
+            customer.rate, customer.burst,
+            demand_of(inputs.own_demands, customer.id), others);
         if (customer.rate.value < inputs.min_divided_rate.value * members)
             snapshot.region_shares[customer.id] =
                 region_share(customer, other_regions, peers, inputs);
