--- a/src/edge/fleet_view.cpp
+++ b/src/edge/fleet_view.cpp
@@ -1,11 +1,9 @@
 #include <parsleyplank/core/error.hpp>
 #include <parsleyplank/core/hash.hpp>
+#include <parsleyplank/core/ip_address.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
 
-#include <arpa/inet.h>
-
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <iterator>
 #include <limits>
@@ -98,10 +96,7 @@
 
 void check_member(const member_record& record)
 {
-    std::array<unsigned char, sizeof(in6_addr)> buf{};
-    const auto* const address = record.address.c_str();
-    if (inet_pton(AF_INET, address, buf.data()) != 1 &&
-        inet_pton(AF_INET6, address, buf.data()) != 1)
+    if (!is_ip_address(record.address))
         throw codec_error("member '" + record.id.value + "': '" +
                           record.address + "' is not an IP address");
     // The port after peer_port is used as well.
--- a/src/settings/table_reader.cpp
+++ b/src/settings/table_reader.cpp
@@ -1,7 +1,6 @@
+#include <parsleyplank/core/ip_address.hpp>
 #include <parsleyplank/settings/table_reader.hpp>
 
-#include <arpa/inet.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -16,13 +15,6 @@
 namespace
 {
 
-bool is_ip(const std::string& text)
-{
-    std::array<unsigned char, 16> buf{};
-    return inet_pton(AF_INET, text.c_str(), buf.data()) == 1 ||
-           inet_pton(AF_INET6, text.c_str(), buf.data()) == 1;
-}
-
 std::string join(const std::vector<std::string>& words, const char* separator)
 {
     return std::accumulate(
@@ -108,7 +100,7 @@
 {
     text(key, value, true);
     const auto* node = find(key, false);
-    if (node != nullptr && !is_ip(value))
+    if (node != nullptr && !is_ip_address(value))
         report(*node, std::string(key) + " must be an IP address, not '" +
                           value + "'");
 }
@@ -128,7 +120,7 @@
     const auto parsed = std::from_chars(digits.data(), last, number);
     const auto host = written.substr(0, colon);
     if (parsed.ec == std::errc() && parsed.ptr == last && number > 0 &&
-        is_ip(host))
+        is_ip_address(host))
     {
         ip = host;
         port = number;
