--- a/test/failure/edge_rare_digests.cpp
+++ b/test/failure/edge_rare_digests.cpp
@@ -28,10 +28,7 @@
     // had the time to choose whom it watches.
     std::size_t settled_watches() const
     {
-        std::this_thread::sleep_for(fleet->options.tick_interval * 4);
-        // Ends the watches that wait; each instance then chooses anew.
-        write_key(*fleet->data, fleet->configuration_key(), "record");
-        std::this_thread::sleep_for(fleet->options.tick_interval);
+        fleet->settle();
         const std::lock_guard lock(fleet->data->mutex);
         return fleet->data->watches;
     }
--- a/test/failure/edge_store_cut.cpp
+++ b/test/failure/edge_store_cut.cpp
@@ -41,10 +41,7 @@
                                                                    : slow_mbps);
         for (const auto& it : fleet.instances)
             CPPUNIT_ASSERT(eventually([&] { return it->read("0") == 503; }));
-        std::this_thread::sleep_for(fleet.options.tick_interval * 4);
-        // Ends the watches that wait; each instance then chooses anew.
-        write_key(*fleet.data, fleet.configuration_key(), "record");
-        std::this_thread::sleep_for(fleet.options.tick_interval);
+        fleet.settle();
 
         for (std::size_t n = 0; n < watchers_per_region; ++n)
             fleet.instances[n]->cut_off_from_store(*fleet.data);
--- a/test/support/whole_instance.hpp
+++ b/test/support/whole_instance.hpp
@@ -165,6 +165,16 @@
             number, region, adapter, data, options, link_mbps));
     }
 
+    // Waits until each instance knows the others and has chosen whom it
+    // watches.
+    void settle()
+    {
+        std::this_thread::sleep_for(options.tick_interval * 4);
+        // Ends the watches that wait; each instance then chooses anew.
+        write_key(*data, configuration_key(), "record");
+        std::this_thread::sleep_for(options.tick_interval);
+    }
+
     // Stops all instances. Returns how long the last one took to end.
     milliseconds stop()
     {
