--- a/review/standin/upstream.hpp
+++ b/review/standin/upstream.hpp
@@ -18,10 +18,9 @@
     std::string zone;
     std::string version = "v1";
     int capacity = 64;
-    // Requests per second that it tolerates while it is cold.
-    double warmup_rate = 0;
     // It crashes when it gets this many requests in one second while it is
-    // cold; 0 means never.
+    // cold; 0 means never. Its callers first have the time of a heartbeat to
+    // learn that it is cold.
     std::size_t crash_at = 0;
 };
 
@@ -76,6 +75,7 @@
     void report();
     void beat();
     bool note_arrival();
+    bool wait_for_slot(std::unique_lock<std::mutex>& lock);
 
     upstream_options options;
     platform_store& store;
@@ -83,6 +83,7 @@
     work_time work;
     std::mutex mutex;
     std::condition_variable stopped;
+    std::condition_variable slot_free;
     bool stopping = false;
     bool store_down = false;
     bool crashed = false;
@@ -93,6 +94,7 @@
     std::deque<clock::time_point> arrivals;
     std::vector<run> finished;
     int running = 0;
+    int waiting = 0;
     std::unique_ptr<http_server> server;
     std::thread beats;
 };
