--- a/review/standin/edge_process.cpp
+++ b/review/standin/edge_process.cpp
@@ -3,16 +3,15 @@
 #include "http_server.hpp"
 
 #include <fcntl.h>
-#include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <array>
+#include <csignal>
 #include <cstdlib>
 #include <stdexcept>
 
-extern char** environ;
-
 namespace review
 {
 
