--- a/review/standin/edge_process.cpp
+++ b/review/standin/edge_process.cpp
@@ -135,6 +135,15 @@
     return ended;
 }
 
+void edge_process::freeze(milliseconds time)
+{
+    log.add("SIGSTOP to " + id);
+    ::kill(pid, SIGSTOP);
+    std::this_thread::sleep_for(time);
+    ::kill(pid, SIGCONT);
+    log.add("SIGCONT to " + id);
+}
+
 void edge_process::stop(milliseconds grace)
 {
     log.add("SIGTERM to " + id);
--- a/review/standin/edge_process.hpp
+++ b/review/standin/edge_process.hpp
@@ -44,6 +44,9 @@
     // Returns when the process has ended.
     void stop(milliseconds grace);
 
+    // Stops the process for this time (SIGSTOP, SIGCONT).
+    void freeze(milliseconds time);
+
     std::uint16_t callers_port() const
     {
         return callers;
--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -6,7 +6,8 @@
 {
 
 nlohmann::json make_configuration(const std::vector<route>& routes,
-                                  const std::vector<service>& services)
+                                  const std::vector<service>& services,
+                                  const std::vector<tenant>& tenants)
 {
     auto route_rows = nlohmann::json::array();
     for (const auto& it : routes)
@@ -16,7 +17,7 @@
     for (const auto& it : services)
         service_rows.push_back(
             {it.name, "/healthz", 360, it.warmup, it.warmup_rate});
-    return {
+    nlohmann::json whole{
         {"version", "00000007"},
         {"routes",
          {{"columns",
@@ -32,6 +33,17 @@
           {"maxBodyBytes", 67'108'864},
           {"headerTimeout", "3000ms"},
           {"idleTimeout", "15000ms"}}}};
+    if (tenants.empty())
+        return whole;
+    auto tenant_rows = nlohmann::json::array();
+    for (const auto& it : tenants)
+        tenant_rows.push_back({it.name, nlohmann::json::array({it.key}), 1,
+                               it.rate, it.burst, nlohmann::json::array()});
+    whole["tenants"] = {{"columns",
+                         {"name", "apiKeys", "priority", "ratePerS", "burst",
+                          "allowedRegions"}},
+                        {"rows", tenant_rows}};
+    return whole;
 }
 
 bool has_trouble()
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -31,9 +31,19 @@
     double warmup_rate = 13;
 };
 
-// Returns a configuration without tenants, as the operator writes it.
+struct tenant
+{
+    std::string name;
+    std::string key;
+    double rate = 0;
+    double burst = 0;
+};
+
+// Returns a configuration, as the operator writes it. Without tenants no key is
+// needed.
 nlohmann::json make_configuration(const std::vector<route>& routes,
-                                  const std::vector<service>& services);
+                                  const std::vector<service>& services,
+                                  const std::vector<tenant>& tenants = {});
 
 // Returns whether the case runs with its disruption.
 bool has_trouble();
--- a/review/standin/order_client.cpp
+++ b/review/standin/order_client.cpp
@@ -5,9 +5,9 @@
 
 order_client::order_client(const std::string& whose, std::uint16_t where,
                            const std::string& route, milliseconds between,
-                           record& to)
-    : name(whose), path(route), port(where), pause(between), log(to),
-      thread([this] { run(); })
+                           record& to, const std::string& api_key)
+    : name(whose), path(route), key(api_key), port(where), pause(between),
+      log(to), thread([this] { run(); })
 {
 }
 
@@ -57,6 +57,8 @@
     message.set(http::field::host, "shop.example");
     message.set("Parsleyplank-Request-Id", it.id);
     message.set("Parsleyplank-Deadline-Ms", "2500");
+    if (!key.empty())
+        message.set("Api-Key", key);
     message.body() = "order " + it.id;
     message.prepare_payload();
     http::write(*socket, message, ec);
--- a/review/standin/order_client.hpp
+++ b/review/standin/order_client.hpp
@@ -21,9 +21,11 @@
 class order_client
 {
 public:
-    // Sends orders with this pause between a response and the next order.
+    // Sends orders with this pause between a response and the next order,
+    // whatever the response says.
     order_client(const std::string& name, std::uint16_t port,
-                 const std::string& path, milliseconds pause, record& log);
+                 const std::string& path, milliseconds pause, record& log,
+                 const std::string& api_key = {});
     ~order_client();
 
     order_client(const order_client&) = delete;
@@ -44,6 +46,7 @@
 
     std::string name;
     std::string path;
+    std::string key;
     std::uint16_t port;
     milliseconds pause;
     record& log;
