--- a/review/standin/frozen_holder.cpp
+++ b/review/standin/frozen_holder.cpp
@@ -96,6 +96,7 @@
             return not_run;
     std::this_thread::sleep_for(std::chrono::seconds(6));
     std::vector<std::unique_ptr<order_client>> clients;
+    clients.reserve(instance_count);
     for (int n = 0; n < instance_count; ++n)
         clients.push_back(std::make_unique<order_client>(
             "c" + std::to_string(n),
