Close connections of callers that pipeline when an instance drains

Cause: a draining instance closed a connection only with a response behind which no other request was pending. A caller that always has two or more requests under way was served until the process exited.

Ruled out: would_be_cut_off, which judges each request by itself and knows nothing of the responses that have to be written before. The front of parsleyplank-entry takes one request at a time and closes with each response.

Fix: while the instance drains, a request that is read behind a pending one is not accepted; the last pending response closes the connection. What was sent behind a response that closes counts as not read, so callers send it again.

--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -250,6 +250,14 @@
     // A request may have waited unread for longer than its caller did.
     if (last_request_read || is_closed_by_peer(socket))
         co_return false;
+    // A caller that always has a request under way would otherwise be served
+    // until the process exits. This one counts as not read once the last
+    // pending response has closed the connection.
+    if (shared->draining && !pending.empty())
+    {
+        last_request_read = true;
+        co_return false;
+    }
     last_request_read = !parser.keep_alive();
     accept_request(parser.release(), memory);
     co_return true;
--- a/src/proxy/front_connection.hpp
+++ b/src/proxy/front_connection.hpp
@@ -47,7 +47,7 @@
     front_options options;
     request_handler handler;
     // Each connection closes after the next response that leaves no request
-    // pending.
+    // pending. A request that is sent behind a pending one is not accepted.
     bool draining = false;
     // Number of connections that are open.
     std::size_t open_connections = 0;
