Issue customers' rates in fixed parts, and move tokens to where they are asked for

Cause, one for both: two parties used the same part of a rate. Behind a cut an instance kept its even part; the others set it aside only until its registration had lapsed. An instance without an answer of the holder used its own part, which the holder did not set aside, and each part's burst was rounded up to a token.

Ruled out: keeping silent peers longer (the same fault after a longer cut, and instances that start meanwhile know nothing of them); ceasing with the own lease (refuses customers within their rate behind a cut, and everybody in an outage of the store); a holder under a lease; loans for a time. docs/design.md, section 14.

Fix: a part has one user at a time. Each instance of a roster in the store issues an even part by its own clock; a lapsed registration changes no part. A new instance waits until all others must know of it, a stopped one removes its record when it has ceased, a restarted one takes over its own part. Spare tokens are moved to a pool in each region and requested from it; pools ask those of other regions. Tokens are never copied, so lost, late and crossed messages, frozen pools, and instances that disagree on the pool admit nothing more. Digests no longer carry demands; their place in the format stays empty.

Tests: edge_token_fleet simulates 10, 60 and 300 instances with cuts, freezes, deaf peers, restarts, joins, stops, heals and seeded series of them; edge_rate_roster, edge_token_pool and quota_token_stock guard the decisions. edge_rate_division and edge_token_holder, and four tests of steering_shares, tested the division that is gone. Their promises are kept by the new ones: parts sum to the rate in fleets of 10, 60 and 300; demand of one region or failure domain gets the rate; silent peers keep their parts; no second burst for a new pool, a restart or another division; an instance without an answer uses its own part only. An instance starts without tokens, so the fixture's customer has a larger limit.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -1,7 +1,6 @@
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/core/rendezvous.hpp>
 #include <parsleyplank/edge/control_plane.hpp>
-#include <parsleyplank/edge/rate_division.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -18,6 +17,7 @@
 
 // Store keys that only instances use.
 constexpr std::string_view member_prefix = "steer/members/";
+constexpr std::string_view roster_prefix = "steer/roster/";
 constexpr std::string_view rollout_record_prefix = "steer/rollouts/";
 
 time_point now()
@@ -72,6 +72,7 @@
     options.fleet.contact_timeout = contact_timeout(bounds);
     options.lease_ttl = bounds.contact;
     options.lease_renewal_interval = bounds.contact / renewals_per_lease;
+    options.roster.join_delay = bounds.contact + reaction_time;
     options.removal_hold =
         std::min(options.removal_hold,
                  std::max(milliseconds(0), bounds.drain - reaction_time));
@@ -93,6 +94,10 @@
       lease(std::make_shared<store::lease_id>())
 {
     fleet.self = config.id;
+    roster.self = config.id;
+    roster.started_ms = self.started_ms;
+    roster.started_at = now();
+    roster.options = options.roster;
     confirmation.pauses.max_gap = contact_timeout(config.bounds);
     relay_listener = std::make_unique<proxy::front_listener>(
         io, steering::server_endpoint{config.address, config.peer_port},
@@ -365,6 +370,11 @@
     for (const auto& [id, peer] : fleet.peers)
         if (!present.contains(std::string(member_prefix) + id.value))
             remove_member(fleet, id);
+    std::set<instance_id> listed_members;
+    for (const auto& key : present)
+        if (const auto id = after_prefix(key, roster_prefix))
+            listed_members.insert(instance_id(*id));
+    retain_roster_members(roster, listed_members);
     const auto gone = [&](const failure_domain_id& id)
     {
         return !present.contains(platform.layout.evacuation_prefix + id.value);
@@ -384,6 +394,7 @@
                                              << " revision="
                                              << all.store_revision.value);
     schedule_removals();
+    update_roster();
     publish();
 }
 
@@ -488,6 +499,10 @@
         }
         else if (it.key.starts_with(member_prefix))
             apply_member(unpack_value<member_record>(it.value, it.key));
+        else if (const auto id = after_prefix(it.key, roster_prefix))
+            put_roster_member(roster, instance_id(*id),
+                              unpack_value<roster_record>(it.value, it.key),
+                              it.key_revision, now());
         else if (const auto service =
                      after_prefix(it.key, rollout_record_prefix))
         {
@@ -541,6 +556,8 @@
         if (instance_id(*id) == self.id)
             restore_registration();
     }
+    else if (const auto id = after_prefix(key, roster_prefix))
+        remove_roster_member(roster, instance_id(*id));
 }
 
 void control_plane::apply_configuration(const store::entry& it)
@@ -614,6 +631,92 @@
         });
 }
 
+store_contact control_plane::contact_with_store() const
+{
+    return {store_reachable(), last_store_response, last_outage};
+}
+
+void control_plane::update_roster()
+{
+    const auto at = now();
+    step_roster(roster, fleet, options.fleet, contact_with_store(), at);
+    log_roster();
+    if (drain_started_at)
+        return;
+    // Another process of this instance was known to all: there is no need to
+    // wait for anything.
+    if (const auto write = next_roster_write(roster);
+        write && !roster_write_pending &&
+        (write->takes_over || (registration_seen && store_reachable())))
+        write_roster(*write);
+    if (!store_reachable())
+        return;
+    for (const auto& id : expired_members(roster, at))
+        remove_from_roster(id);
+}
+
+void control_plane::log_roster()
+{
+    const bool issuing = may_issue(roster, contact_with_store(), now());
+    const std::pair state{issuing, roster.missing.size()};
+    if (std::exchange(reported_roster, state) == state)
+        return;
+    LOG4CPLUS_INFO(log, "event=roster issuing="
+                            << issuing << " members=" << roster.members.size()
+                            << " missing=" << roster.missing.size());
+}
+
+void control_plane::write_roster(const roster_write& write)
+{
+    roster_write_pending = true;
+    const auto key = std::string(roster_prefix) + self.id.value;
+    const auto value = pack_value(roster_record{self.started_ms});
+    const bool queued = worker->submit(
+        [this, write, key, value](store::lease_store& store)
+        {
+            const auto end = [this, write](bool applied)
+            {
+                proxy::asio::post(io,
+                                  [this, write, applied]
+                                  {
+                                      roster_write_pending = false;
+                                      if (!applied)
+                                          return;
+                                      note_roster_write(roster, write, now());
+                                      log_roster();
+                                      publish();
+                                  });
+            };
+            try
+            {
+                const auto outcome =
+                    store.commit({{{key, write.expected}},
+                                  {{key, value, store::lease_id(0)}},
+                                  {}});
+                end(outcome == store::commit_outcome::applied);
+            }
+            catch (const error&)
+            {
+                end(false);
+                throw;
+            }
+        });
+    roster_write_pending = queued;
+}
+
+void control_plane::remove_from_roster(const instance_id& id)
+{
+    const auto it = roster.members.find(id);
+    if (it == roster.members.end())
+        return;
+    LOG4CPLUS_INFO(log, "event=roster_removal instance=" << id.value);
+    const auto key = std::string(roster_prefix) + id.value;
+    worker->submit(
+        [key, expected = it->second.key_revision](store::lease_store& store) {
+            store.commit({{{key, expected}}, {}, {key}});
+        });
+}
+
 void control_plane::restore_registration()
 {
     if (drain_started_at)
@@ -678,13 +781,6 @@
                          {},
                          {},
                          make_limit_reports(report.limits, now())};
-    // Demands below this rate, in requests per second, do not affect the
-    // division of a customer's rate.
-    constexpr double min_reported_demand = 0.02;
-    for (const auto& [id, demand] : report.demands)
-        if (demand >= min_reported_demand)
-            digest.demands.push_back(
-                {customer_number(id), static_cast<float>(demand)});
     for (const auto& [service, rollout] : rollouts)
     {
         if (!rollout.order)
@@ -768,6 +864,7 @@
     reload_if_changed();
     renew_registration();
     remove_expired_peers(fleet, options.fleet, now());
+    update_roster();
     relay.expire_watches(now());
     const auto live = live_peers(fleet, options.fleet, now());
     update_watch_source(live);
@@ -823,7 +920,7 @@
         return;
     }
     last_digest = now();
-    shared_demands = std::exchange(last_report, report).demands;
+    last_report = report;
     send_digests(report);
     publish();
 }
@@ -888,6 +985,27 @@
         next.versions[service] = policy_of(rollout, versions[service]);
 }
 
+void control_plane::add_rates(steering_snapshot& next) const
+{
+    const bool issuing =
+        !drain_started_at && may_issue(roster, contact_with_store(), now());
+    next.rates = {count_issuers(roster), 0, issuing, roster.issuing_since};
+    const auto add = [&](const member_record& it)
+    {
+        next.token_peers.push_back(
+            {it.id,
+             it.domain,
+             it.region,
+             {it.address, static_cast<std::uint16_t>(it.peer_port + 1)}});
+        if (it.region == self.region)
+            ++next.rates.issuers_in_touch;
+    };
+    if (!drain_started_at)
+        add(self);
+    for (const auto* peer : peers_in_touch(fleet, options.fleet, now()))
+        add(peer->record);
+}
+
 void control_plane::publish()
 {
     auto next = std::make_shared<steering_snapshot>();
@@ -916,10 +1034,7 @@
     if (!drain_started_at)
         ++next->registered[self.region];
     update_servers(*next);
-    if (routing)
-        divide_rates(*next, sum_demands(fleet, options.fleet, now()),
-                     {self.region, shared_demands,
-                      token_rate(options.min_divided_rate)});
+    add_rates(*next);
     add_limits(*next, fleet, options.fleet, now());
     traffic.publish(std::move(next));
 }
@@ -932,6 +1047,9 @@
     drain_started_at = now();
     publish();
     deregister();
+    // The traffic thread has stopped issuing when the snapshot is adopted,
+    // which takes less time than the others need to learn of the removal.
+    remove_from_roster(self.id);
     send_digests(last_report);
 }
 
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -7,6 +7,7 @@
 
 #include <parsleyplank/edge/change_relay.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
+#include <parsleyplank/edge/rate_roster.hpp>
 #include <parsleyplank/edge/relay_tree.hpp>
 #include <parsleyplank/edge/rollout_control.hpp>
 #include <parsleyplank/edge/state_confirmation.hpp>
@@ -30,6 +31,7 @@
 struct control_options
 {
     fleet_options fleet;
+    roster_options roster;
     rollout_control_options rollouts;
     feed_options feed;
     // Interval of the duties that depend on time, and between digests in a
@@ -49,11 +51,6 @@
     milliseconds removal_hold{2'100};
     // Time after an outage of the store in which removals are still delayed.
     milliseconds outage_hold_period{3'000};
-    // Rate in requests per second and instance below which one instance of each
-    // region holds a customer's tokens. With a share of only a few tokens per
-    // second, an instance would refuse requests by chance that are within the
-    // customer's rate.
-    double min_divided_rate = 2.0;
     // Number of instances from which on only a few of each region watch the
     // store and relay its changes to the others. If all watched it, the number
     // of calls would grow with the product of instances and changes.
@@ -141,6 +138,16 @@
     // Registers this instance again after its key was removed.
     void restore_registration();
 
+    // Record of this instance in the roster of those that issue tokens.
+    void update_roster();
+    // Logs whether this instance issues tokens and how many others are missing,
+    // if that has changed.
+    void log_roster();
+    void write_roster(const roster_write& write);
+    void remove_from_roster(const instance_id& id);
+    store_contact contact_with_store() const;
+    void add_rates(steering_snapshot& next) const;
+
     // Exchange of digests with peers.
     void receive_digests();
     member_digest make_digest(const traffic_report& report);
@@ -200,12 +207,11 @@
     std::set<instance_id> new_peers;
     // Whether the store has listed the registration of this process.
     bool registration_seen = false;
-    // Demands in the digest before the last one, which all peers have received
-    // by now. When the demand of all instances grows at once, a newer value
-    // would be divided against outdated values of the peers, and all instances
-    // together would exceed the rate.
-    std::unordered_map<customer_id, double> shared_demands;
     member_record self;
+    rate_roster roster;
+    // Whether a write of the own record is under way.
+    bool roster_write_pending = false;
+    std::pair<bool, std::size_t> reported_roster{false, 0};
     std::uint64_t digest_sequence_number = 0;
     bool publish_pending = false;
 
--- a/src/edge/fleet_view.cpp
+++ b/src/edge/fleet_view.cpp
@@ -187,6 +187,17 @@
     return live;
 }
 
+std::vector<const peer_state*> peers_in_touch(const fleet_view& fleet,
+                                              const fleet_options& options,
+                                              time_point now)
+{
+    std::vector<const peer_state*> found;
+    for (const auto& [id, it] : fleet.peers)
+        if (!is_leaving(it) && is_responsive(it, options, now))
+            found.push_back(&it);
+    return found;
+}
+
 std::map<region_id, std::size_t> count_registered(const fleet_view& fleet)
 {
     std::map<region_id, std::size_t> counts;
--- a/src/edge/fleet_view.hpp
+++ b/src/edge/fleet_view.hpp
@@ -40,8 +40,7 @@
                          domain, region, link_mbps)
 };
 
-// Demand of one customer, identified by the hash of its id, in requests per
-// second.
+// Demand of one customer. Only former versions report it.
 struct customer_demand
 {
     std::uint32_t customer = 0;
@@ -97,6 +96,7 @@
     bool store_reachable = false;
     // Revision of the store up to which the instance has applied all changes.
     revision store_revision;
+    // Empty; keeps the places of the fields after it during an upgrade.
     std::vector<customer_demand> demands;
     std::vector<rollout_report> rollouts;
     std::vector<limit_report> limits;
@@ -203,6 +203,11 @@
                                           const fleet_options& options,
                                           time_point now);
 
+// Returns the peers that are responsive and not leaving.
+std::vector<const peer_state*> peers_in_touch(const fleet_view& fleet,
+                                              const fleet_options& options,
+                                              time_point now);
+
 // Returns the number of registered peers that are not leaving, by region.
 std::map<region_id, std::size_t> count_registered(const fleet_view& fleet);
 
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds answer_margin{15};
 // Maximum number of unreachable servers that one request tries.
 constexpr std::size_t max_unreachable = 3;
+// Maximum number of times that one request asks for a token if there is no
+// answer.
+constexpr int max_token_requests = 3;
 // Maximum random time that is added to Retry-After, so that the retries of
 // refused callers are spread, and the default Retry-After.
 constexpr milliseconds retry_after_jitter{400};
@@ -166,46 +169,68 @@
     return true;
 }
 
+proxy::asio::awaitable<std::optional<bool>> request_flow::request_token()
+{
+    auto& pools = context.state.tokens;
+    const auto request = make_pool_request(pools, customer->id, now());
+    const token_count wanted{request.customer, request.count};
+    const auto granted =
+        co_await context.token_peers.request_tokens(request.to, wanted);
+    if (!granted)
+    {
+        note_silence(pools, request.pool, now());
+        co_return std::nullopt;
+    }
+    note_answer(pools, request.pool);
+    if (*granted == 0)
+    {
+        note_refusal(pools, customer->id, now());
+        co_return false;
+    }
+    add_own(pools, request.customer, *granted - 1);
+    co_return true;
+}
+
+proxy::asio::awaitable<bool> request_flow::request_token_elsewhere()
+{
+    auto& pools = context.state.tokens;
+    const auto request = make_other_region_request(pools, customer->id, now());
+    if (!request)
+        co_return false;
+    const token_count wanted{request->customer, request->count};
+    const auto granted =
+        co_await context.token_peers.request_elsewhere(request->to, wanted);
+    if (granted.value_or(0) > 0)
+        co_return true;
+    note_other_region_refusal(pools, customer->id, now());
+    co_return false;
+}
+
 proxy::asio::awaitable<bool> request_flow::take_token()
 {
     if (customer == nullptr || customer->rate.value <= 0)
         co_return true;
-    auto& state = context.state;
-    const auto* holder = token_holder_of(state, customer->id);
-    auto answer = token_answer::unknown;
-    if (holder != nullptr && holder->id == state.config.id)
+    auto& pools = context.state.tokens;
+    count_request(pools, customer->id);
+    std::optional<bool> granted;
+    for (int i = 0; i < max_token_requests && !granted; ++i)
     {
-        steering::count_demand(state.meters[customer->id]);
-        answer = take_region_token(state, customer_number(customer->id), now())
-                     ? token_answer::granted
-                     : token_answer::refused;
-    }
-    else if (holder != nullptr)
-    {
-        steering::count_demand(state.meters[customer->id]);
-        const auto where = holder->token_endpoint;
-        answer = co_await context.token_peers.request_token(
-            where, customer_number(customer->id));
-        if (answer == token_answer::granted)
-            token_granted_by = where;
+        const auto source = edge::take_token(pools, customer->id, now());
+        if (source == token_source::pool)
+            granted = co_await request_token();
+        else
+            granted = source == token_source::taken;
     }
-    // Without an answer, this instance's own part of the rate decides.
-    token_taken = answer == token_answer::unknown
-                      ? take_quota(state, *customer, now())
-                      : answer == token_answer::granted;
+    token_taken = granted.value_or(false);
+    if (granted && !token_taken)
+        token_taken = co_await request_token_elsewhere();
     co_return token_taken;
 }
 
 void request_flow::return_token()
 {
     token_taken = false;
-    const auto number = customer_number(customer->id);
-    if (token_granted_by)
-        context.token_peers.return_token(*token_granted_by, number);
-    else if (token_holder_of(context.state, customer->id) != nullptr)
-        return_region_token(context.state, number);
-    else
-        return_quota(context.state, *customer);
+    add_own(context.state.tokens, customer_number(customer->id), 1);
 }
 
 placement_request request_flow::make_placement_request() const
@@ -293,7 +318,7 @@
     if (!allowed)
     {
         refuse(refusal_reason::customer_rate,
-               quota_wait(context.state, *customer));
+               token_wait(context.state.tokens, customer->id));
         co_return;
     }
     ex->on_cancel = [weak = weak_from_this()]
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -52,9 +52,12 @@
 
     bool admit();
     bool admit_customer();
-    // Takes a token of the customer, from the instance that holds it if that is
-    // another one.
+    // Takes a token of the customer, from the pool if there is none here.
     proxy::asio::awaitable<bool> take_token();
+    // Requests a token from the pool, or from that of another region. Nullopt
+    // if it does not answer.
+    proxy::asio::awaitable<std::optional<bool>> request_token();
+    proxy::asio::awaitable<bool> request_token_elsewhere();
     void return_token();
     // Returns whether the API keys known here are recent enough to be accepted.
     bool keys_fresh() const;
@@ -121,8 +124,6 @@
     // Failure response of a server, held while another server is tried.
     std::optional<proxy::response_message> failure_response;
     bool token_taken = false;
-    // Instance that granted the token; nullopt if it is this one.
-    std::optional<steering::server_endpoint> token_granted_by;
     std::shared_ptr<proxy::upstream_call> call;
     std::string last_detail;
     // Ranking of the last choice of a server.
--- a/src/edge/snapshot.hpp
+++ b/src/edge/snapshot.hpp
@@ -4,7 +4,7 @@
 // Data exchanged between the control thread and the traffic thread. Snapshots
 // are immutable and replaced as a whole.
 
-#include <parsleyplank/steering/customer_share.hpp>
+#include <parsleyplank/quota/token_stock.hpp>
 #include <parsleyplank/steering/directory.hpp>
 #include <parsleyplank/steering/rate_share.hpp>
 #include <parsleyplank/steering/rollout_plan.hpp>
@@ -60,11 +60,11 @@
     // ones, these are the same in all snapshots of the fleet, and don't change
     // with the arrival of digests.
     std::map<region_id, std::size_t> registered;
-    std::unordered_map<customer_id, steering::customer_share> shares;
-    // This region's parts of the rates of customers whose rate is too small to
-    // divide among all instances. One instance of the region holds the tokens
-    // of each such customer.
-    std::unordered_map<customer_id, steering::customer_share> region_shares;
+    // How the rates of customers are divided, and the instances that tokens are
+    // exchanged with: those that this one is in touch with, and itself unless
+    // it is draining.
+    quota::rate_division rates;
+    std::vector<steering::fleet_member> token_peers;
     // Limits that servers have named, by the number of the server in messages.
     std::unordered_map<std::uint64_t, peer_limit> limits;
     // Time until the peers know a new claim of this instance to a limit.
@@ -98,10 +98,9 @@
     bool wanted = false;
 };
 
-// Counts of the traffic thread since its start, and current demands.
+// Counts of the traffic thread since its start.
 struct traffic_report
 {
-    std::unordered_map<customer_id, double> demands;
     tally_table tallies;
     std::vector<known_limit> limits;
     // Requests that are being received or whose responses are not yet written.
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -92,18 +92,15 @@
       monitor(std::make_shared<const proxy::loop_monitor>(io)),
       bodies(make_body_budget(config)),
       pool(io, server_options(config, bodies)),
-      token_peers(io, token_endpoint(config),
-                  {[this](std::uint32_t customer)
-                   { return answer_token_request(customer); },
-                   [this](std::uint32_t customer)
-                   {
-                       return_region_token(state, customer);
-                   }}),
+      token_peers(io, token_endpoint(config), make_token_handlers()),
       context{state,       platform, pool,
               token_peers, counters, component_logger("traffic")},
-      sweep_timer(io)
+      sweep_timer(io), token_timer(io)
 {
     state.config = config;
+    state.tokens.self = config.id;
+    state.tokens.region = config.region;
+    state.tokens.rng.seed(std::random_device{}());
     state.options.shift = steering::shift_options_for(config.bounds.shift_cap);
     state.rng.seed(std::hash<instance_id>{}(config.id));
     const auto listen = [&](const steering::server_endpoint& where,
@@ -124,6 +121,7 @@
         listen(config.admin, service_options(config),
                &traffic_plane::serve_admin);
     sweep();
+    exchange_tokens();
     thread = std::thread([this] { io.run(); });
 }
 
@@ -193,14 +191,53 @@
         });
 }
 
-// Another instance may hold the tokens since a pause of this one, so that this
-// one must not grant them before its state is confirmed.
-token_answer traffic_plane::answer_token_request(std::uint32_t customer)
+token_handlers traffic_plane::make_token_handlers()
 {
-    if (!state_usable(context))
-        return token_answer::unknown;
-    return take_region_token(state, customer, now()) ? token_answer::granted
-                                                     : token_answer::refused;
+    // After a pause, the division of the rates may have changed.
+    const auto grant =
+        [this](const token_count& it) -> std::optional<std::uint32_t>
+    {
+        if (!state_usable(context))
+            return std::nullopt;
+        return grant_tokens(state.tokens, it.customer, it.count, now());
+    };
+    const auto grant_elsewhere =
+        [this](const token_count& it) -> std::optional<std::uint32_t>
+    {
+        if (!state_usable(context))
+            return std::nullopt;
+        return edge::grant_elsewhere(state.tokens, it.customer, now()) ? 1 : 0;
+    };
+    const auto lend = [this](const token_count& it) -> std::uint32_t
+    {
+        if (!state_usable(context))
+            return 0;
+        return lend_tokens(state.tokens, it.customer, it.count, now());
+    };
+    return {grant,
+            grant_elsewhere,
+            lend,
+            [this](const token_count& it)
+            { edge::add_own(state.tokens, it.customer, it.count); },
+            [this](const token_count& it)
+            { add_spare(state.tokens, it.customer, it.count); },
+            [this](const token_count& it)
+            {
+                add_lent(state.tokens, it.customer, it.count);
+            }};
+}
+
+void traffic_plane::exchange_tokens()
+{
+    if (state_usable(context))
+        token_peers.send_transfers(move_tokens(state.tokens, now()));
+    token_timer.expires_after(state.tokens.options.move_interval);
+    token_timer.async_wait(
+        [this](const proxy::error_code& ec)
+        {
+            if (!ec)
+                exchange_tokens();
+        });
 }
 
 void traffic_plane::serve_directory(const proxy::exchange_ptr& ex)
--- a/src/edge/traffic_plane.hpp
+++ b/src/edge/traffic_plane.hpp
@@ -47,7 +47,10 @@
     void serve_directory(const proxy::exchange_ptr& ex);
     void serve_readiness(const proxy::exchange_ptr& ex);
     void serve_admin(const proxy::exchange_ptr& ex);
-    token_answer answer_token_request(std::uint32_t customer);
+    // Returns the callbacks of the exchange of tokens.
+    token_handlers make_token_handlers();
+    // Moves tokens of customers to where they are asked for, at an interval.
+    void exchange_tokens();
     void sweep();
     // Reports the load of the event loop and of the listener for callers.
     void report_load();
@@ -65,6 +68,7 @@
     token_exchange token_peers;
     flow_context context;
     proxy::asio::steady_timer sweep_timer;
+    proxy::asio::steady_timer token_timer;
     // What was last reported of the connections of callers.
     proxy::connection_counts reported;
     std::vector<std::unique_ptr<proxy::front_listener>> listeners;
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -6,7 +6,6 @@
 #include <iterator>
 #include <limits>
 #include <sstream>
-#include <unordered_set>
 
 namespace parsleyplank::edge
 {
@@ -458,94 +457,15 @@
     return found;
 }
 
-void resize_buckets(
-    std::unordered_map<customer_id, quota::token_bucket>& buckets,
-    const std::unordered_map<customer_id, steering::customer_share>& shares,
-    time_point now)
-{
-    for (const auto& [id, share] : shares)
-    {
-        const auto [it, added] = buckets.try_emplace(id);
-        if (added)
-            it->second = {share.rate, share.burst, share.burst, now};
-        quota::resize(it->second, share.rate, share.burst, now);
-    }
-    std::erase_if(buckets,
-                  [&](const auto& it) { return !shares.contains(it.first); });
-}
-
-// Finds the holders of the customers' tokens. Does nothing as long as the
-// region has the same live instances and the same customers with small rates.
-void update_token_holders(traffic_state& state)
-{
-    std::vector<steering::fleet_member> members;
-    std::ranges::copy_if(state.snapshot->members, std::back_inserter(members),
-                         [&](const steering::fleet_member& it)
-                         { return it.region == state.config.region; });
-    const auto& shares = state.snapshot->region_shares;
-    const bool same_customers =
-        shares.size() == state.token_holders.size() &&
-        std::ranges::all_of(shares, [&](const auto& it)
-                            { return state.token_holders.contains(it.first); });
-    if (same_customers && members == state.region_members)
-        return;
-    state.region_members = std::move(members);
-    state.token_holders.clear();
-    if (state.region_members.empty())
-        return;
-    for (const auto& it : shares)
-    {
-        const auto& customer = it.first;
-        state.token_holders[customer] = *std::ranges::max_element(
-            state.region_members, {},
-            [&](const steering::fleet_member& member)
-            { return rendezvous_weight(customer.value, member.id.value); });
-    }
-}
-
-bool holds_tokens(const traffic_state& state, const customer_id& customer)
-{
-    const auto* holder = token_holder_of(state, customer);
-    return holder != nullptr && holder->id == state.config.id;
-}
-
-// Replaces the parts of the customers' rates. Tokens that another instance may
-// have held until now, or that were held in another way, are not handed out a
-// second time.
-void adopt_shares(traffic_state& state, time_point now)
-{
-    const auto& regions = state.snapshot->region_shares;
-    std::vector<customer_id> now_divided;
-    std::unordered_set<customer_id> held_before;
-    for (const auto& [id, bucket] : state.region_buckets)
-    {
-        if (!regions.contains(id))
-            now_divided.push_back(id);
-        if (holds_tokens(state, id))
-            held_before.insert(id);
-    }
-    update_token_holders(state);
-    resize_buckets(state.region_buckets, regions, now);
-    // The instances' own parts still are those of the last snapshot.
-    for (auto& [id, bucket] : state.region_buckets)
-        if (!holds_tokens(state, id) ||
-            (state.buckets.contains(id) && !held_before.contains(id)))
-            bucket.level = tokens(0);
-    resize_buckets(state.buckets, state.snapshot->shares, now);
-    for (const auto& id : now_divided)
-        if (const auto it = state.buckets.find(id); it != state.buckets.end())
-            it->second.level = tokens(0);
-}
-
 } // namespace
 
 void adopt_snapshot(traffic_state& state, snapshot_ptr next, time_point now)
 {
     state.snapshot = std::move(next);
-    adopt_shares(state, now);
-    state.customer_numbers.clear();
-    for (const auto& [id, share] : state.snapshot->region_shares)
-        state.customer_numbers[customer_number(id)] = id;
+    if (const auto& routing = state.snapshot->routing;
+        routing && routing->config)
+        adopt_division(state.tokens, routing->config->customers,
+                       state.snapshot->rates, state.snapshot->token_peers, now);
     state.surplus.clear();
     for (const auto& [service, servers] : state.snapshot->servers)
         state.surplus[service] = find_surplus(*state.snapshot, servers);
@@ -640,77 +560,6 @@
     return decision;
 }
 
-bool take_quota(traffic_state& state,
-                const steering::traffic_customer& customer, time_point now)
-{
-    steering::count_demand(state.meters[customer.id]);
-    if (customer.rate.value <= 0)
-        return true;
-    const auto it = state.buckets.find(customer.id);
-    return it == state.buckets.end() || quota::take(it->second, tokens(1), now);
-}
-
-const steering::fleet_member* token_holder_of(const traffic_state& state,
-                                              const customer_id& customer)
-{
-    const auto it = state.token_holders.find(customer);
-    return it == state.token_holders.end() ? nullptr : &it->second;
-}
-
-bool take_region_token(traffic_state& state, std::uint32_t customer,
-                       time_point now)
-{
-    const auto id = state.customer_numbers.find(customer);
-    if (id == state.customer_numbers.end())
-        return false;
-    const auto it = state.region_buckets.find(id->second);
-    return it != state.region_buckets.end() &&
-           quota::take(it->second, tokens(1), now);
-}
-
-void return_region_token(traffic_state& state, std::uint32_t customer)
-{
-    const auto id = state.customer_numbers.find(customer);
-    if (id == state.customer_numbers.end())
-        return;
-    auto& bucket = state.region_buckets[id->second];
-    bucket.level = std::min(bucket.burst, bucket.level + tokens(1));
-}
-
-void return_quota(traffic_state& state,
-                  const steering::traffic_customer& customer)
-{
-    const auto it = state.buckets.find(customer.id);
-    if (customer.rate.value <= 0 || it == state.buckets.end())
-        return;
-    it->second.level = std::min(it->second.burst, it->second.level + tokens(1));
-}
-
-milliseconds quota_wait(const traffic_state& state,
-                        const steering::traffic_customer& customer)
-{
-    constexpr double ms_per_s = 1'000;
-    constexpr double max_wait_ms = 5'000;
-    const auto wait_for = [&](double missing, token_rate rate)
-    {
-        const auto ms =
-            rate.value > 0 ? missing / rate.value * ms_per_s : max_wait_ms;
-        return milliseconds(
-            static_cast<std::int64_t>(std::min(max_wait_ms, ms)));
-    };
-    const auto* holder = token_holder_of(state, customer.id);
-    // The bucket of another instance is not known here.
-    if (holder != nullptr && holder->id != state.config.id)
-        return wait_for(1, state.snapshot->region_shares.at(customer.id).rate);
-    const auto& buckets =
-        holder != nullptr ? state.region_buckets : state.buckets;
-    const auto it = buckets.find(customer.id);
-    return it == buckets.end()
-               ? wait_for(1, token_rate(0))
-               : wait_for(std::max(0.0, 1 - it->second.level.value),
-                          it->second.rate);
-}
-
 void take_report(traffic_state& state, const steering::backend_server& server,
                  const steering::reported_load& report, time_point now)
 {
@@ -798,9 +647,6 @@
 traffic_report make_report(traffic_state& state, time_point now)
 {
     traffic_report report;
-    for (auto& [id, meter] : state.meters)
-        report.demands[id] = steering::measure_demand(
-            meter, state.options.demand_half_life, now);
     report.tallies = state.tallies;
     if (!state.notices.empty())
         report.limits = report_limits(state, now);
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -8,8 +8,8 @@
 #include <parsleyplank/edge/adapter.hpp>
 #include <parsleyplank/edge/settings.hpp>
 #include <parsleyplank/edge/snapshot.hpp>
+#include <parsleyplank/edge/token_pool.hpp>
 #include <parsleyplank/placement/retry_budget.hpp>
-#include <parsleyplank/quota/token_bucket.hpp>
 #include <parsleyplank/steering/region_shift.hpp>
 #include <parsleyplank/steering/server_notice.hpp>
 #include <parsleyplank/steering/server_ranking.hpp>
@@ -27,8 +27,6 @@
     steering::ranking_options ranking;
     steering::health_options health;
     steering::shift_options shift;
-    // Half-life of the weight of past demand.
-    milliseconds demand_half_life{1'500};
     // Part of the fleet's retry allowance that instances use. The rest is a
     // reserve for instances that know fewer members than there are.
     double retry_part_used = 0.8;
@@ -63,17 +61,7 @@
     std::map<std::pair<service_id, region_id>, steering::region_load>
         region_loads;
     std::map<std::pair<route_id, service_id>, steering::service_times> times;
-    std::unordered_map<customer_id, quota::token_bucket> buckets;
-    // Tokens of this region that this instance holds for all instances of the
-    // region. Those of customers whose tokens another one holds are empty.
-    std::unordered_map<customer_id, quota::token_bucket> region_buckets;
-    // The live instances of the region, and the one of them that holds the
-    // tokens of each customer in region_shares.
-    std::vector<steering::fleet_member> region_members;
-    std::unordered_map<customer_id, steering::fleet_member> token_holders;
-    // Customers in region_shares by their number in messages.
-    std::unordered_map<std::uint32_t, customer_id> customer_numbers;
-    std::unordered_map<customer_id, steering::demand_meter> meters;
+    token_pool_state tokens;
     std::unordered_map<service_id, placement::retry_budget> retries;
     std::unordered_map<route_id, split_state> splits;
     // Accumulated fraction of a request that is due to the target version.
@@ -89,7 +77,7 @@
     std::uint64_t next_call = 1;
 };
 
-// Replaces the snapshot, resizes the token buckets of customers, and forgets
+// Replaces the snapshot and the division of the customers' rates, and forgets
 // the load of removed servers.
 void adopt_snapshot(traffic_state& state, snapshot_ptr next, time_point now);
 
@@ -143,31 +131,6 @@
 void confirm_placement(traffic_state& state, const server_placement& placed,
                        time_point now);
 
-// Takes a token of the customer and counts the demand. Returns true if the
-// customer has no limit.
-bool take_quota(traffic_state& state,
-                const steering::traffic_customer& customer, time_point now);
-
-// Returns the instance that holds the customer's tokens in this region, or
-// nullptr if the rate is divided among all instances or no instance of the
-// region is known.
-const steering::fleet_member* token_holder_of(const traffic_state& state,
-                                              const customer_id& customer);
-
-// Takes or returns a token of the region that this instance holds. Unknown
-// customers have no tokens.
-bool take_region_token(traffic_state& state, std::uint32_t customer,
-                       time_point now);
-void return_region_token(traffic_state& state, std::uint32_t customer);
-
-// Returns the token of a request that has not run.
-void return_quota(traffic_state& state,
-                  const steering::traffic_customer& customer);
-
-// Returns the time until the customer has a token again.
-milliseconds quota_wait(const traffic_state& state,
-                        const steering::traffic_customer& customer);
-
 // Records the load that a server has reported with a response.
 void take_report(traffic_state& state, const steering::backend_server& server,
                  const steering::reported_load& report, time_point now);
