--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -54,6 +54,14 @@
             config.link_mbps};
 }
 
+steering::fleet_member to_fleet_member(const member_record& record)
+{
+    return {record.id,
+            record.domain,
+            record.region,
+            {record.address, static_cast<std::uint16_t>(record.peer_port + 1)}};
+}
+
 milliseconds fraction_of(milliseconds whole, double part)
 {
     return milliseconds(
@@ -643,8 +651,8 @@
     log_roster();
     if (drain_started_at)
         return;
-    // Another process of this instance was known to all: there is no need to
-    // wait for anything.
+    // A part that an earlier process of this instance had needs no wait: all
+    // others have set it aside.
     if (const auto write = next_roster_write(roster);
         write && !roster_write_pending &&
         (write->takes_over || (registration_seen && store_reachable())))
@@ -992,11 +1000,7 @@
     next.rates = {count_issuers(roster), 0, issuing, roster.issuing_since};
     const auto add = [&](const member_record& it)
     {
-        next.token_peers.push_back(
-            {it.id,
-             it.domain,
-             it.region,
-             {it.address, static_cast<std::uint16_t>(it.peer_port + 1)}});
+        next.token_peers.push_back(to_fleet_member(it));
         if (it.region == self.region)
             ++next.rates.issuers_in_touch;
     };
@@ -1018,11 +1022,7 @@
                         fraction_of(config.bounds.grace, options.exit_fraction);
     const auto add = [&](const member_record& it)
     {
-        next->members.push_back(
-            {it.id,
-             it.domain,
-             it.region,
-             {it.address, static_cast<std::uint16_t>(it.peer_port + 1)}});
+        next->members.push_back(to_fleet_member(it));
         next->instances.push_back(
             {it.id, {it.address, it.caller_port}, it.domain, it.region});
     };
--- a/src/edge/token_pool.cpp
+++ b/src/edge/token_pool.cpp
@@ -230,7 +230,6 @@
         const auto [entry, added] = state.customers.try_emplace(it.id);
         auto& customer = entry->second;
         customer.rate = it.rate;
-        customer.burst = it.burst;
         if (added)
         {
             std::uniform_real_distribution<double> phase(0, 1);
--- a/src/edge/token_pool.hpp
+++ b/src/edge/token_pool.hpp
@@ -58,7 +58,6 @@
 struct customer_tokens
 {
     token_rate rate;
-    tokens burst;
     quota::token_stock stock;
     // Requests of callers at this instance.
     steering::demand_meter own_demand;
