--- a/src/edge/token_pool.cpp
+++ b/src/edge/token_pool.cpp
@@ -130,12 +130,12 @@
 using transfer_table =
     std::map<steering::server_endpoint, std::vector<token_transfer::item>>;
 
-std::vector<token_transfer> to_list(transfer_table table)
+std::vector<token_transfer> to_list(const transfer_table& table)
 {
     std::vector<token_transfer> list;
     list.reserve(table.size());
-    for (auto& [to, items] : table)
-        list.push_back({to, std::move(items)});
+    for (const auto& [to, items] : table)
+        list.push_back({to, items});
     return list;
 }
 
@@ -423,8 +423,7 @@
         request_lent(state, id, customer, requested, now);
         drop_excess(state, customer);
     }
-    return {to_list(std::move(spare)), to_list(std::move(wanted)),
-            to_list(std::move(requested))};
+    return {to_list(spare), to_list(wanted), to_list(requested)};
 }
 
 milliseconds token_wait(const token_pool_state& state,
