Refill a customer's stock in one place, and drop unused code

Three functions of token_pool refilled the stock in the same way before they took tokens. Two functions of the simulated fleet and an include were not used.

--- a/src/edge/token_pool.cpp
+++ b/src/edge/token_pool.cpp
@@ -90,6 +90,18 @@
     return it == state.customers.end() ? nullptr : &it->second;
 }
 
+// Returns the customer with its stock refilled, or nullptr if it is not known.
+customer_tokens* refill_customer(token_pool_state& state, std::uint32_t number,
+                                 time_point now)
+{
+    auto* customer = find_customer(state, number);
+    if (customer != nullptr)
+        quota::refill(customer->stock,
+                      is_pool(state, *customer, state.numbers.at(number), now),
+                      now);
+    return customer;
+}
+
 // Removes suspicions that have ended.
 void expire_suspicions(token_pool_state& state, time_point now)
 {
@@ -351,38 +363,29 @@
 std::uint32_t grant_tokens(token_pool_state& state, std::uint32_t number,
                            std::uint32_t wanted, time_point now)
 {
-    auto* customer = find_customer(state, number);
+    auto* customer = refill_customer(state, number, now);
     if (customer == nullptr)
         return 0;
     customer->last_peer_request = now;
     steering::count_demand(customer->pool_demand, wanted);
-    quota::refill(customer->stock,
-                  is_pool(state, *customer, state.numbers.at(number), now),
-                  now);
     return quota::take_pooled(customer->stock, wanted);
 }
 
 bool grant_elsewhere(token_pool_state& state, std::uint32_t number,
                      time_point now)
 {
-    auto* customer = find_customer(state, number);
+    auto* customer = refill_customer(state, number, now);
     if (customer == nullptr)
         return false;
-    quota::refill(customer->stock,
-                  is_pool(state, *customer, state.numbers.at(number), now),
-                  now);
     return quota::take_pooled(customer->stock, 1) == 1;
 }
 
 std::uint32_t lend_tokens(token_pool_state& state, std::uint32_t number,
                           std::uint32_t wanted, time_point now)
 {
-    auto* customer = find_customer(state, number);
+    auto* customer = refill_customer(state, number, now);
     if (customer == nullptr)
         return 0;
-    quota::refill(customer->stock,
-                  is_pool(state, *customer, state.numbers.at(number), now),
-                  now);
     const auto kept = with_reserve(pool_expects(state, *customer));
     const auto available =
         std::max(0.0, std::floor(customer->stock.pooled.value - kept));
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -1,4 +1,3 @@
-#include <parsleyplank/core/rendezvous.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/edge/traffic_state.hpp>
 
--- a/test/support/token_fleet.cpp
+++ b/test/support/token_fleet.cpp
@@ -118,16 +118,6 @@
     return options.instances;
 }
 
-time_point token_fleet::now() const
-{
-    return at;
-}
-
-bool token_fleet::is_running(int instance) const
-{
-    return instances[static_cast<std::size_t>(instance)]->running;
-}
-
 void token_fleet::set_demand(demand_source source)
 {
     demand = std::move(source);
--- a/test/support/token_fleet.hpp
+++ b/test/support/token_fleet.hpp
@@ -63,9 +63,7 @@
     // The process removes its records and ends after a second.
     void drain(int instance);
 
-    bool is_running(int instance) const;
     int size() const;
-    time_point now() const;
 
     // Most requests that were admitted in a window of 5 s.
     std::size_t most_in_window() const;
