--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -1,6 +1,7 @@
 #include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/edge/request_flow.hpp>
 #include <parsleyplank/edge/response_headers.hpp>
+#include <parsleyplank/edge/server_limits.hpp>
 
 #include <algorithm>
 #include <array>
@@ -387,7 +388,7 @@
     {
         verdict = steering::request_result::bad;
         if (result.outcome != call_outcome::not_sent)
-            count_result(context.state, placed, true, false);
+            count_result(context.state, *placed.server, true, false);
         else
             mark_unreachable(placed);
     }
@@ -422,7 +423,7 @@
                    : steering::request_result::neutral;
     if (status >= first_server_error)
     {
-        count_result(state, placed, true, false);
+        count_result(state, *placed.server, true, false);
         return steering::request_result::bad;
     }
     record_success(placed, result);
@@ -462,7 +463,7 @@
         !placed.cold &&
         steering::is_slow_response(times, placed.rank, known_warm,
                                    result.latency, state.options.ranking);
-    count_result(state, placed, false, slow);
+    count_result(state, *placed.server, false, slow);
     steering::record_object(load, object, state.options.health, now());
     if (!placed.cold)
         steering::record_latency(times, load, placed.rank, result.latency,
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -7,8 +7,8 @@
 
 #include <parsleyplank/core/pause_detector.hpp>
 #include <parsleyplank/core/reason.hpp>
+#include <parsleyplank/edge/server_placement.hpp>
 #include <parsleyplank/edge/token_exchange.hpp>
-#include <parsleyplank/edge/traffic_state.hpp>
 #include <parsleyplank/proxy/upstream_call.hpp>
 #include <parsleyplank/telemetry/metrics.hpp>
 
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -1,8 +1,8 @@
 #ifndef PARSLEYPLANK_EDGE_TRAFFIC_STATE_HPP
 #define PARSLEYPLANK_EDGE_TRAFFIC_STATE_HPP
 
-// State of the traffic thread that outlives a request, and the decisions based
-// on it: service and server of a request, quotas and retry budgets.
+// State of the traffic thread that outlives a request: the snapshot, the load
+// of servers, quotas and retry budgets.
 
 #include <parsleyplank/core/reason.hpp>
 #include <parsleyplank/edge/adapter.hpp>
@@ -77,6 +77,10 @@
     std::uint64_t next_call = 1;
 };
 
+// Returns the servers of the service that may get new requests.
+const std::vector<steering::server_ptr>& servers_of(const traffic_state& state,
+                                                    const service_id& service);
+
 // Replaces the snapshot and the division of the customers' rates, and forgets
 // the load of removed servers.
 void adopt_snapshot(traffic_state& state, snapshot_ptr next, time_point now);
@@ -85,64 +89,10 @@
 const service_id& next_service(traffic_state& state,
                                const steering::traffic_route& route);
 
-// Properties of a request that the choice of a server depends on.
-struct placement_request
-{
-    const steering::traffic_route& route;
-    const steering::traffic_customer* customer = nullptr;
-    service_id service;
-    std::string affinity_key;
-    // Servers that this request has already been sent to.
-    std::span<const backend_server_id> tried;
-    // Time left of the latency objective.
-    milliseconds time_left{0};
-};
-
-struct server_placement
-{
-    steering::server_ptr server;
-    steering::ranked_server rank;
-    bool cold = false;
-};
-
-struct placement_decision
-{
-    // Null if no server may be used or the request would wait beyond its
-    // latency objective.
-    std::optional<server_placement> placed;
-    // Ranking of the best server, also if the request is refused.
-    steering::ranked_server rank;
-    // Reason for the refusal if there is no server.
-    refusal_reason reason = refusal_reason::no_capacity;
-    // Time until a server takes requests again, if all servers that the request
-    // may use want none for now and it is known until when.
-    std::optional<milliseconds> retry_after;
-};
-
-// Chooses the server of the request. A request that would wait for a slot until
-// its latency objective has passed would delay the requests behind it as well,
-// so it gets a free slot of this region or is refused.
-placement_decision place_request(traffic_state& state,
-                                 const placement_request& request,
-                                 time_point now);
-
-// Takes a token from the budgets of a server that is cold or has named a limit,
-// before the request is sent.
-void confirm_placement(traffic_state& state, const server_placement& placed,
-                       time_point now);
-
 // Records the load that a server has reported with a response.
 void take_report(traffic_state& state, const steering::backend_server& server,
                  const steering::reported_load& report, time_point now);
 
-// Records what a response of the server asks for. `sent` is the time at which
-// its request was sent. Returns the changes for the log, as " name=value" each;
-// empty if there are none.
-std::string take_notice(traffic_state& state,
-                        const steering::backend_server& server,
-                        const steering::server_notice& notice, time_point sent,
-                        time_point now);
-
 // Counts the first send of a request to the service, which adds to the retry
 // budget.
 void count_send(traffic_state& state, const service_id& service);
@@ -157,7 +107,7 @@
                                   const service_id& service);
 
 // Counts the result of a request if the versions of its service are compared.
-void count_result(traffic_state& state, const server_placement& placed,
+void count_result(traffic_state& state, const steering::backend_server& server,
                   bool failed, bool slow);
 
 // Returns the counts for the control thread.
--- a/test/correctness/edge_placement.cpp
+++ b/test/correctness/edge_placement.cpp
@@ -2,7 +2,8 @@
 // leave their region only for one with surplus slots, and a full region refuses
 // requests instead of letting all of them wait.
 
-#include <parsleyplank/edge/traffic_state.hpp>
+#include <parsleyplank/edge/server_limits.hpp>
+#include <parsleyplank/edge/server_placement.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/test/failure/edge_server_notices.cpp
+++ b/test/failure/edge_server_notices.cpp
@@ -2,6 +2,7 @@
 // they want nothing for a time: guards against sending to them all the same.
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <parsleyplank/edge/server_limits.hpp>
 #include <support/edge_fixture.hpp>
 
 #include <atomic>
--- a/test/support/limit_fleet.hpp
+++ b/test/support/limit_fleet.hpp
@@ -6,7 +6,8 @@
 // clock with a seed; only the decisions of the traffic thread are real.
 
 #include <parsleyplank/edge/fleet_view.hpp>
-#include <parsleyplank/edge/traffic_state.hpp>
+#include <parsleyplank/edge/server_limits.hpp>
+#include <parsleyplank/edge/server_placement.hpp>
 
 #include <functional>
 #include <memory>
