Keep what was acknowledged when the store comes back from an older copy

After a restore the store gives out its revisions and leases again. Instances compared bare revisions: they took listings of the restored store for late ones (apply_listing returned at once), watched from revisions that stood for other changes, renewed leases that belonged to others, and would have restarted rollouts, since the order has a newer revision when it is written again.

The adapter puts the era of the store into the upper bits of revisions and leases, so that they rise across a restore and every comparison holds. A relay that has lost its history is listed in place of the store.

Without an era in the responses nothing changes.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -1,6 +1,7 @@
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/core/rendezvous.hpp>
 #include <parsleyplank/edge/control_plane.hpp>
+#include <parsleyplank/store/store_era.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -360,6 +361,9 @@
 {
     if (all.store_revision < applied_revision)
         return;
+    const bool first_of_era = is_restored(all.store_revision, applied_revision);
+    if (first_of_era)
+        begin_restore(all.store_revision);
     applied_revision = all.store_revision;
     note_revision(applied_revision);
     relay.apply_listing(all);
@@ -383,22 +387,11 @@
     for (const auto& key : present)
         if (const auto id = after_prefix(key, roster_prefix))
             listed_members.insert(instance_id(*id));
-    retain_roster_members(roster, listed_members);
-    const auto gone = [&](const failure_domain_id& id)
-    {
-        return !present.contains(platform.layout.evacuation_prefix + id.value);
-    };
-    const auto ended = [&]
-    {
-        std::vector<failure_domain_id> list;
-        std::ranges::copy_if(evacuated, std::back_inserter(list), gone);
-        return list;
-    }();
-    for (const auto& id : ended)
-        apply_removal(platform.layout.evacuation_prefix + id.value);
-    for (const auto& [id, rollout] : rollouts)
-        if (!present.contains(platform.layout.rollout_prefix + id.value))
-            remove_order(rollouts, id);
+    if (first_of_era)
+        restore_roster_members(roster, listed_members);
+    else
+        retain_roster_members(roster, listed_members);
+    remove_missing_orders(present);
     LOG4CPLUS_INFO(log, "event=listed keys=" << all.entries.size()
                                              << " revision="
                                              << all.store_revision.value);
@@ -407,6 +400,33 @@
     publish();
 }
 
+void control_plane::remove_missing_orders(const std::set<std::string>& present)
+{
+    std::vector<std::string> keys;
+    for (const auto& id : evacuated)
+        keys.push_back(platform.layout.evacuation_prefix + id.value);
+    for (const auto& [id, rollout] : rollouts)
+        if (rollout.order)
+            keys.push_back(platform.layout.rollout_prefix + id.value);
+    for (const auto& key : keys)
+        if (!present.contains(key) && !hold_order(restored, key, now()))
+            apply_removal(key);
+}
+
+void control_plane::begin_restore(revision listed)
+{
+    LOG4CPLUS_WARN(log, "event=store_restored era="
+                            << store::era_of(listed) << " revision="
+                            << store::number_in_era(listed) << " before="
+                            << store::number_in_era(applied_revision));
+    begin_hold(restored, now());
+    // Servers that the copy lacks are kept as after an outage.
+    last_outage = now();
+    servers.store_restored = true;
+    note_restored_store(rollouts);
+    restore_registration();
+}
+
 void control_plane::apply_changes(const store::list_result& changes,
                                   const std::string& source)
 {
@@ -484,6 +504,7 @@
 void control_plane::apply_entry(const store::entry& it)
 {
     const auto& layout = platform.layout;
+    release_order(restored, it.key);
     try
     {
         if (it.key == layout.configuration_key)
@@ -551,6 +572,7 @@
 void control_plane::apply_removal(const std::string& key)
 {
     const auto& layout = platform.layout;
+    release_order(restored, key);
     if (const auto domain = after_prefix(key, layout.evacuation_prefix))
     {
         LOG4CPLUS_INFO(log, "event=evacuation_ended domain=" << *domain);
@@ -656,7 +678,8 @@
     // others have set it aside.
     if (const auto write = next_roster_write(roster);
         write && !roster_write_pending &&
-        (write->takes_over || (registration_seen && store_reachable())))
+        (write->takes_over || write->restores ||
+         (registration_seen && store_reachable())))
         write_roster(*write);
     if (!store_reachable())
         return;
@@ -719,6 +742,12 @@
     if (it == roster.members.end())
         return;
     LOG4CPLUS_INFO(log, "event=roster_removal instance=" << id.value);
+    // A restored store has no record of it.
+    if (it->second.key_revision == revision(0))
+    {
+        remove_roster_member(roster, id);
+        return;
+    }
     const auto key = std::string(roster_prefix) + id.value;
     worker->submit(
         [key, expected = it->second.key_revision](store::lease_store& store) {
@@ -893,6 +922,9 @@
     renew_registration();
     remove_expired_peers(fleet, options.fleet, now());
     update_roster();
+    std::ranges::for_each(expired_orders(restored, now()),
+                          [this](const std::string& key)
+                          { apply_removal(key); });
     relay.expire_watches(now());
     const auto live = live_peers(fleet, options.fleet, now());
     update_watch_source(live);
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -12,6 +12,7 @@
 #include <parsleyplank/edge/rollout_control.hpp>
 #include <parsleyplank/edge/state_confirmation.hpp>
 #include <parsleyplank/edge/store_feed.hpp>
+#include <parsleyplank/edge/store_restore.hpp>
 #include <parsleyplank/edge/store_worker.hpp>
 #include <parsleyplank/edge/traffic_plane.hpp>
 
@@ -107,6 +108,10 @@
                        const std::string& source);
     void apply_entry(const store::entry& it);
     void apply_removal(const std::string& key);
+    // Removes the orders that the listing lacks and that don't hold.
+    void remove_missing_orders(const std::set<std::string>& present);
+    // Takes over a store that has come back from an older copy.
+    void begin_restore(revision listed);
     void apply_configuration(const store::entry& it);
     void apply_server(const store::entry& it);
     void apply_member(const member_record& record);
@@ -247,6 +252,7 @@
     // Time of the last failure of a store call, or of the recovery from it.
     time_point last_outage{};
     bool store_outage = false;
+    store_restore restored;
     // Revision up to which all changes have been applied.
     revision applied_revision;
     // Highest known revision of the store, and the time since when this
--- a/src/edge/rate_roster.cpp
+++ b/src/edge/rate_roster.cpp
@@ -23,6 +23,9 @@
                        time_point now)
 {
     roster.members[id] = {record, key_revision};
+    if (id == roster.self)
+        roster.record_lost =
+            roster.record_lost && record.started_ms != roster.started_ms;
     // The answer to the write may have been lost.
     if (id == roster.self && record.started_ms == roster.started_ms &&
         roster.phase == issuing_phase::outside)
@@ -49,12 +52,25 @@
     roster.listed = true;
     std::vector<instance_id> gone;
     for (const auto& [id, it] : roster.members)
-        if (!present.contains(id))
+        if (!present.contains(id) && it.key_revision != revision(0))
             gone.push_back(id);
     std::ranges::for_each(gone, [&](const instance_id& id)
                           { remove_roster_member(roster, id); });
 }
 
+void restore_roster_members(rate_roster& roster,
+                            const std::set<instance_id>& present)
+{
+    for (auto& [id, it] : roster.members)
+        if (!present.contains(id))
+            it.key_revision = revision(0);
+    const auto own = roster.members.find(roster.self);
+    roster.record_lost = roster.phase != issuing_phase::outside &&
+                         (own == roster.members.end() ||
+                          own->second.key_revision == revision(0) ||
+                          own->second.record.started_ms != roster.started_ms);
+}
+
 void step_roster(rate_roster& roster, const fleet_view& fleet,
                  const fleet_options& fleet_options,
                  const store_contact& contact, time_point now)
@@ -73,9 +89,14 @@
 
 std::optional<roster_write> next_roster_write(const rate_roster& roster)
 {
+    const auto own = roster.members.find(roster.self);
+    if (roster.record_lost)
+        return roster_write{own == roster.members.end()
+                                ? revision(0)
+                                : own->second.key_revision,
+                            false, true};
     if (!roster.listed || roster.phase != issuing_phase::outside)
         return std::nullopt;
-    const auto own = roster.members.find(roster.self);
     if (own != roster.members.end())
         return roster_write{own->second.key_revision, true};
     // A member that is cut off would not know of this instance.
@@ -87,6 +108,11 @@
 void note_roster_write(rate_roster& roster, const roster_write& write,
                        time_point now)
 {
+    if (write.restores)
+    {
+        roster.record_lost = false;
+        return;
+    }
     roster.joined_at = now;
     roster.phase =
         write.takes_over ? issuing_phase::issuing : issuing_phase::joining;
--- a/src/edge/rate_roster.hpp
+++ b/src/edge/rate_roster.hpp
@@ -61,6 +61,7 @@
     struct member
     {
         roster_record record;
+        // 0 if the store has come back from an older copy without the record.
         revision key_revision;
     };
 
@@ -79,6 +80,8 @@
     time_point issuing_since{};
     // Whether the store has been listed since the start.
     bool listed = false;
+    // Whether the store has come back without this process's record.
+    bool record_lost = false;
 };
 
 // Applies what the store holds.
@@ -89,6 +92,12 @@
 void retain_roster_members(rate_roster& roster,
                            const std::set<instance_id>& present);
 
+// Applies a listing of a store that has come back from an older copy. Members
+// that it lacks keep their parts: they still issue them, and write their
+// records again.
+void restore_roster_members(rate_roster& roster,
+                            const std::set<instance_id>& present);
+
 // Contact of this instance with the store.
 struct store_contact
 {
@@ -111,6 +120,8 @@
     // The record replaces that of an earlier process of this instance, which
     // all others know of.
     bool takes_over = false;
+    // The record was lost while this process was using its part.
+    bool restores = false;
 };
 
 // Returns the write that is due, if any.
--- a/src/edge/rollout_control.cpp
+++ b/src/edge/rollout_control.cpp
@@ -1,4 +1,5 @@
 #include <parsleyplank/edge/rollout_control.hpp>
+#include <parsleyplank/store/store_era.hpp>
 
 #include <algorithm>
 
@@ -10,12 +11,31 @@
 
 using steering::rollout_phase;
 
+// Returns whether the two revisions are of one write of an order: a restored
+// store has it in a later era.
+bool is_same_order(revision a, revision b)
+{
+    return a == b || (store::era_of(a) != store::era_of(b) &&
+                      store::number_in_era(a) == store::number_in_era(b));
+}
+
 // Returns whether the record belongs to the current order. Other records are
 // ignored.
 bool is_current(const rollout_state& rollout)
 {
     return rollout.order && rollout.record &&
-           rollout.record->ordered == rollout.order->ordered;
+           rollout.record->target == rollout.order->target &&
+           is_same_order(rollout.record->ordered, rollout.order->ordered);
+}
+
+// Returns whether a record of a restored store was written before the known
+// one.
+bool is_behind(const rollout_record& record, const rollout_record& known)
+{
+    const bool undone = record.phase == rollout_phase::running &&
+                        (known.phase != rollout_phase::running ||
+                         record.target != known.target);
+    return undone || !std::ranges::includes(record.rejected, known.rejected);
 }
 
 rollout_phase phase_of(const rollout_state& rollout)
@@ -103,6 +123,17 @@
     auto& rollout = table[order.service];
     if (rollout.order && rollout.order->ordered >= order.ordered)
         return;
+    const bool written_again =
+        rollout.order && rollout.order->target == order.target &&
+        rollout.order->duration == order.duration &&
+        store::era_of(rollout.order->ordered) < store::era_of(order.ordered);
+    if (written_again)
+    {
+        if (is_current(rollout))
+            rollout.record->ordered = order.ordered;
+        rollout.order = order;
+        return;
+    }
     rollout.order = order;
     rollout.first_seen_at = now;
     rollout.full_share_since.reset();
@@ -125,8 +156,21 @@
     auto& rollout = table[service];
     if (rollout.record_revision >= at)
         return;
-    rollout.record = record;
     rollout.record_revision = at;
+    if (rollout.record_lost && rollout.record &&
+        is_behind(record, *rollout.record))
+        return;
+    rollout.record = record;
+    rollout.record_lost = false;
+}
+
+void note_restored_store(rollout_table& table)
+{
+    for (auto& [service, rollout] : table)
+    {
+        rollout.record_revision = revision(0);
+        rollout.record_lost = rollout.record.has_value();
+    }
 }
 
 std::vector<rollout_write>
@@ -138,14 +182,20 @@
     std::vector<rollout_write> writes;
     for (auto& [service, rollout] : table)
     {
-        if (!rollout.order || phase_of(rollout) != rollout_phase::running)
+        auto phase = phase_of(rollout);
+        if (!rollout.order ||
+            (phase != rollout_phase::running && !rollout.record_lost))
             continue;
-        const auto found = fleet.find({service, rollout.order->target});
-        const auto phase = advance(
-            rollout,
-            found == fleet.end() ? steering::rollout_tally() : found->second,
-            options, now, wall_ms);
-        const bool due = !is_current(rollout) || phase != rollout.record->phase;
+        if (phase == rollout_phase::running)
+        {
+            const auto found = fleet.find({service, rollout.order->target});
+            phase = advance(rollout,
+                            found == fleet.end() ? steering::rollout_tally()
+                                                 : found->second,
+                            options, now, wall_ms);
+        }
+        const bool due = !is_current(rollout) || rollout.record_lost ||
+                         phase != rollout.record->phase;
         if (!due)
             continue;
         const auto at = rank.find(service);
--- a/src/edge/rollout_control.hpp
+++ b/src/edge/rollout_control.hpp
@@ -44,6 +44,9 @@
     std::optional<rollout_record> record;
     // Revision of the stored record, 0 if none is known.
     revision record_revision;
+    // Whether the store has come back without the record, or with an earlier
+    // one, and it has to be written again.
+    bool record_lost = false;
     // Time at which this instance received the order.
     time_point first_seen_at{};
     // Time since which the target has the full share at this instance.
@@ -77,7 +80,8 @@
 };
 
 // Applies an order. An order with a newer revision restarts the rollout of the
-// service; an older one is ignored.
+// service; an older one is ignored. If the store has come back from an older
+// copy since, the same order goes on.
 void apply_order(rollout_table& table, const steering::rollout_order& order,
                  time_point now);
 
@@ -85,8 +89,13 @@
 // judged faulty remain rejected.
 void remove_order(rollout_table& table, const service_id& service);
 
+// Records that the store has come back from an older copy, which may lack the
+// records or have earlier ones.
+void note_restored_store(rollout_table& table);
+
 // Applies the stored record of a service, which has the given revision. Ignores
-// a record that is not newer than the known one.
+// a record that is not newer than the known one, and one of a restored store
+// that is behind it.
 void apply_record(rollout_table& table, const service_id& service,
                   const rollout_record& record, revision at);
 
--- a/src/edge/store_feed.cpp
+++ b/src/edge/store_feed.cpp
@@ -163,9 +163,7 @@
     const auto started = std::chrono::steady_clock::now();
     try
     {
-        deliver_changes(
-            relay->watch(prefix, known_revision, options.peer_watch_wait),
-            format_endpoint(*connected_peer));
+        watch_relay(*relay);
     }
     catch (const error& ec)
     {
@@ -178,6 +176,25 @@
     }
 }
 
+void store_feed::watch_relay(store::kv_store& relay)
+{
+    try
+    {
+        deliver_changes(
+            relay.watch(prefix, known_revision, options.peer_watch_wait),
+            format_endpoint(*connected_peer));
+    }
+    catch (const store::history_lost&)
+    {
+        // The relay's listing spares the store one by each instance.
+        auto all = relay.list(prefix);
+        if (all.store_revision < known_revision)
+            throw;
+        known_revision = all.store_revision;
+        handlers.listed(std::move(all));
+    }
+}
+
 void store_feed::deliver_changes(store::list_result changes,
                                  const std::string& source)
 {
--- a/src/edge/store_feed.hpp
+++ b/src/edge/store_feed.hpp
@@ -91,6 +91,8 @@
     void run();
     void list();
     void watch();
+    // Watches a relay, and lists its keys if it no longer has the changes.
+    void watch_relay(store::kv_store& relay);
     void deliver_changes(store::list_result changes, const std::string& source);
     // Returns a client for the peer to watch, or nullptr if the store is to be
     // watched.
--- a/src/steering/server_registry.hpp
+++ b/src/steering/server_registry.hpp
@@ -50,17 +50,31 @@
 
 using server_ptr = std::shared_ptr<const backend_server>;
 
+// The last report of a server before it was removed.
+struct departed_server
+{
+    std::int64_t started_ms = 0;
+    std::int64_t sequence = 0;
+    time_point removed_at{};
+};
+
 struct server_registry
 {
     std::unordered_map<backend_server_id, server_ptr> servers;
     // Delayed removals: servers whose registration has been removed, with the
     // time at which the removal takes effect.
     std::map<backend_server_id, time_point> pending_removals;
+    // Servers that were removed lately.
+    std::unordered_map<backend_server_id, departed_server> departed;
+    // Whether the store has come back from an older copy. Records that are no
+    // newer than the last one of a departed server are ignored then.
+    bool store_restored = false;
 };
 
 // Adds or replaces a server and cancels its delayed removal. Ignores a record
 // of an earlier process of the same id and an earlier report of the same
-// process. Returns whether anything changed.
+// process, or one that a departed server wrote before it left if the store was
+// restored. Returns whether anything changed.
 bool put_server(server_registry& registry, backend_server server);
 
 // Removes a server at the effective time, or at once if that has passed.
--- a/src/store/http_call.cpp
+++ b/src/store/http_call.cpp
@@ -5,7 +5,11 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <cctype>
+#include <optional>
+#include <string_view>
 #include <utility>
 
 namespace parsleyplank::store
@@ -23,6 +27,9 @@
     std::string body;
     std::size_t max_body_bytes = 0;
     std::size_t header_bytes = 0;
+    // Name of the header to keep, and its value.
+    std::string kept_name;
+    std::string kept_value;
 };
 
 // Returns fewer bytes than given, which ends the transfer, above the limit.
@@ -36,13 +43,39 @@
     return size * n;
 }
 
-// Counts a line of the header or of the trailers. Returns 0, which ends the
-// transfer, above the limit.
-std::size_t count_header(const char* /*data*/, std::size_t size, std::size_t n,
-                         void* target)
+// Returns the value of the header line if it has this name, without regard to
+// case and without surrounding spaces.
+std::optional<std::string> header_value(std::string_view line,
+                                        std::string_view name)
+{
+    const auto to_lower = [](char c)
+    {
+        return std::tolower(static_cast<unsigned char>(c));
+    };
+    const bool matches = line.size() > name.size() &&
+                         line[name.size()] == ':' &&
+                         std::ranges::equal(line.substr(0, name.size()), name,
+                                            {}, to_lower, to_lower);
+    if (!matches)
+        return std::nullopt;
+    constexpr std::string_view spaces = " \t\r\n";
+    auto value = line.substr(name.size() + 1);
+    value.remove_prefix(
+        std::min(value.find_first_not_of(spaces), value.size()));
+    value = value.substr(0, value.find_last_not_of(spaces) + 1);
+    return std::string(value);
+}
+
+// Counts a line of the header or of the trailers, and keeps the value of the
+// wanted one. Returns 0, which ends the transfer, above the limit.
+std::size_t take_header(const char* data, std::size_t size, std::size_t n,
+                        void* target)
 {
     auto& response = *static_cast<received_response*>(target);
     response.header_bytes += size * n;
+    if (!response.kept_name.empty())
+        if (auto value = header_value({data, size * n}, response.kept_name))
+            response.kept_value = *std::move(value);
     return response.header_bytes > max_header_bytes ? 0 : size * n;
 }
 
@@ -138,7 +171,7 @@
         static_cast<long>(settings.connect_timeout.count()));
     set(CURLOPT_WRITEFUNCTION, &append_body);
     set(CURLOPT_WRITEDATA, static_cast<void*>(&response));
-    set(CURLOPT_HEADERFUNCTION, &count_header);
+    set(CURLOPT_HEADERFUNCTION, &take_header);
     set(CURLOPT_HEADERDATA, static_cast<void*>(&response));
     set(CURLOPT_ERRORBUFFER, message.data());
     add_header(("Content-Type: " + settings.content_type).c_str());
@@ -174,6 +207,8 @@
     set(CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
     response.body.clear();
     response.header_bytes = 0;
+    response.kept_name = settings.returned_header;
+    response.kept_value.clear();
     response.max_body_bytes = settings.max_response_bytes;
     message.front() = '\0';
     const auto code = curl_easy_perform(easy);
@@ -185,7 +220,8 @@
     }
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-    return {static_cast<int>(status), std::move(response.body)};
+    return {static_cast<int>(status), std::move(response.body),
+            std::move(response.kept_value)};
 }
 
 http_call::http_call(http_settings settings)
--- a/src/store/http_call.hpp
+++ b/src/store/http_call.hpp
@@ -30,12 +30,16 @@
     // broken, found by keep-alive probes; 0 sends none. A call that waits long
     // would not notice otherwise.
     milliseconds silence_timeout{0};
+    // Name of a response header whose value is returned; empty for none.
+    std::string returned_header;
 };
 
 struct http_response
 {
     int status = 0;
     std::string body;
+    // Value of http_settings::returned_header; empty if there was none.
+    std::string header;
 };
 
 // The transfer ended without a complete response.
--- a/test/correctness/platform_store.cpp
+++ b/test/correctness/platform_store.cpp
@@ -26,6 +26,11 @@
     CPPUNIT_TEST(an_unknown_status_of_a_write_leaves_its_outcome_unknown);
     CPPUNIT_TEST(an_unreadable_value_hides_no_other_entry);
     CPPUNIT_TEST(a_lease_is_ended_by_its_id);
+    CPPUNIT_TEST(revisions_rise_when_the_store_goes_back);
+    CPPUNIT_TEST(a_watch_from_an_earlier_era_has_lost_its_history);
+    CPPUNIT_TEST(a_revision_of_an_earlier_era_matches_nothing);
+    CPPUNIT_TEST(a_lease_of_an_earlier_era_has_ended);
+    CPPUNIT_TEST(a_response_of_an_earlier_era_is_rejected);
     CPPUNIT_TEST_SUITE_END();
 
     std::mutex guard;
@@ -43,6 +48,26 @@
             });
     }
 
+    static std::string in_era(int era, const std::string& body)
+    {
+        auto text = http_text("200 OK", body);
+        const std::string first_line = "HTTP/1.1 200 OK\r\n";
+        return text.insert(first_line.size(),
+                           "store-era:  " + std::to_string(era) + " \r\n");
+    }
+
+    // Answers each request with the body in the era that is due.
+    std::unique_ptr<raw_server> start_in_eras(std::vector<int> eras,
+                                              const std::string& body)
+    {
+        return start(
+            [eras = std::move(eras), body](std::size_t n)
+            {
+                return scripted_response{
+                    in_era(eras[std::min(n, eras.size()) - 1], body), false};
+            });
+    }
+
     static platform::platform_store open(const raw_server& server)
     {
         store::http_settings settings;
@@ -202,6 +227,76 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), all.entries.front().value);
         CPPUNIT_ASSERT_EQUAL(std::string("one"), all.entries.back().value);
     }
+
+    // Guards against a store that comes back from an older copy and is taken
+    // for late: its revisions are lower than those of before.
+    void revisions_rise_when_the_store_goes_back()
+    {
+        const auto server = start(
+            [](std::size_t n)
+            {
+                return scripted_response{
+                    in_era(n == 1 ? 3 : 4,
+                           n == 1 ? R"({"items":[],"storeRevision":70})"
+                                  : R"({"items":[],"storeRevision":50})"),
+                    false};
+            });
+        auto store = open(*server);
+        const auto before = store.list("").store_revision;
+        CPPUNIT_ASSERT(store.list("").store_revision > before);
+    }
+
+    // Guards against a watch that misses changes because its revision was given
+    // out again.
+    void a_watch_from_an_earlier_era_has_lost_its_history()
+    {
+        const auto server = start_in_eras(
+            {3, 4}, R"({"items":[],"events":[],"storeRevision":70})");
+        auto store = open(*server);
+        const auto known = store.list("").store_revision;
+        CPPUNIT_ASSERT_THROW(store.watch("", known, milliseconds(10)),
+                             store::history_lost);
+        CPPUNIT_ASSERT(requests.back().find("after=70&") != std::string::npos);
+    }
+
+    // Guards against a condition that another write of the same number meets.
+    void a_revision_of_an_earlier_era_matches_nothing()
+    {
+        const auto server = start_in_eras(
+            {3, 4}, R"({"items":[],"storeRevision":70,"revision":71})");
+        auto store = open(*server);
+        const auto known = store.list("").store_revision;
+        store.list("");
+        const auto sent = requests.size();
+        CPPUNIT_ASSERT(store.commit({{{"a", known}},
+                                     {{"a", "1", store::lease_id(0)}},
+                                     {}}) == store::commit_outcome::conflict);
+        CPPUNIT_ASSERT(!store.compare_and_swap("a", known, "1").applied);
+        CPPUNIT_ASSERT_EQUAL(sent, requests.size());
+    }
+
+    // Guards against the renewal of another client's lease with the same
+    // number, while the own registration stays lost.
+    void a_lease_of_an_earlier_era_has_ended()
+    {
+        const auto server =
+            start_in_eras({3, 3, 4}, R"({"lease":9,"ttl_time":"4000ms"})");
+        auto store = open(*server);
+        const auto lease = store.grant_lease(milliseconds(4'000));
+        CPPUNIT_ASSERT(store.renew_lease(lease));
+        CPPUNIT_ASSERT(!store.renew_lease(lease));
+        CPPUNIT_ASSERT(store.commit({{}, {{"a", "1", lease}}, {}}) ==
+                       store::commit_outcome::lease_ended);
+    }
+
+    void a_response_of_an_earlier_era_is_rejected()
+    {
+        const auto server =
+            start_in_eras({4, 3}, R"({"items":[],"storeRevision":70})");
+        auto store = open(*server);
+        store.list("");
+        CPPUNIT_ASSERT_THROW(store.list(""), store_unavailable);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_store_calls);
--- a/test/support/memory_store.cpp
+++ b/test/support/memory_store.cpp
@@ -1,3 +1,5 @@
+#include <parsleyplank/store/store_era.hpp>
+
 #include <support/memory_store.hpp>
 
 #include <algorithm>
@@ -12,7 +14,8 @@
 
 revision newest(const memory_store_data& data)
 {
-    return data.history.empty() ? revision(1) : data.history.back().first;
+    return data.history.empty() ? store::with_era<revision>(data.era, 1)
+                                : data.history.back().first;
 }
 
 // Stores or, without a value, removes a key. The caller holds the mutex.
@@ -40,6 +43,35 @@
     apply(data, key, value);
 }
 
+store_copy copy_store(memory_store_data& data)
+{
+    const guard lock(data.mutex);
+    return {data.entries, data.leases, data.live_leases, newest(data)};
+}
+
+void restore_store(memory_store_data& data, const store_copy& from)
+{
+    const guard lock(data.mutex);
+    ++data.era;
+    const auto in_new_era = [&](auto id)
+    {
+        return store::with_era<decltype(id)>(data.era,
+                                             store::number_in_era(id));
+    };
+    data.entries = from.entries;
+    for (auto& [key, it] : data.entries)
+        it.key_revision = in_new_era(it.key_revision);
+    data.leases = from.leases;
+    for (auto& [key, lease] : data.leases)
+        lease = in_new_era(lease);
+    data.live_leases.clear();
+    for (const auto& lease : from.live_leases)
+        data.live_leases.insert(in_new_era(lease));
+    data.newest_lease = in_new_era(data.newest_lease);
+    data.history = {{in_new_era(from.newest), {}}};
+    data.changed.notify_all();
+}
+
 void close_store(memory_store_data& data)
 {
     const guard lock(data.mutex);
@@ -107,9 +139,11 @@
     check_reachable();
     if (data->closed)
         throw store_unavailable("closed");
+    if (store::era_of(after) != data->era)
+        throw store::history_lost("restored");
     store::list_result result{{}, newest(*data)};
     for (const auto& [at, it] : data->history)
-        if (at > after && it.key.starts_with(prefix))
+        if (at > after && !it.key.empty() && it.key.starts_with(prefix))
             result.entries.push_back(it);
     return result;
 }
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -35,6 +35,8 @@
     std::size_t watches = 0;
     // All changes in order; a removal has no value and the revision 0.
     std::vector<std::pair<revision, store::entry>> history;
+    // Era of the store, which rises when it goes back to a copy.
+    std::uint64_t era = 0;
     // Whether watches fail at once, so that the threads of the clients can be
     // joined.
     bool closed = false;
@@ -47,6 +49,21 @@
 void write_key(memory_store_data& data, const std::string& key,
                const std::string& value);
 
+// The contents at one moment.
+struct store_copy
+{
+    std::map<std::string, store::entry> entries;
+    std::map<std::string, store::lease_id> leases;
+    std::set<store::lease_id> live_leases;
+    revision newest;
+};
+
+store_copy copy_store(memory_store_data& data);
+
+// Lets the store come back from the copy in the next era: what was written
+// since is gone, and its revisions are given out again.
+void restore_store(memory_store_data& data, const store_copy& from);
+
 // Lets the watches that wait and all later ones fail at once.
 void close_store(memory_store_data& data);
 
