--- a/test/failure/edge_store_restore.cpp
+++ b/test/failure/edge_store_restore.cpp
@@ -3,6 +3,7 @@
 // return to what the copy says.
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <support/gate.hpp>
 #include <support/whole_instance.hpp>
 
 using namespace parsleyplank;
