Take neither unknown statuses nor reset parts for responses

Callers got a status of 000, 099, 600 or 999 as an answer, and the first part of a 200 without a length as a whole one if the server reset the connection during an upload (10 of 10 uploads, on new and on kept connections).

A status outside 100 to 599 now ends the call as lost, with its connection. The reset: the write of the upload fails first and takes the error of the socket, so that the read after it sees an orderly end. A response that ends with its connection is therefore lost if the kernel tells that both directions have ended, which only a reset does.

A reset after the upload, and one after an orderly end, were right before. parsleyplank-entry has neither fault: it refuses such statuses, which now has a test, and takes no response without a length.

--- a/src/proxy/socket_state.cpp
+++ b/src/proxy/socket_state.cpp
@@ -48,6 +48,13 @@
     return ::poll(&it, 1, 0) > 0;
 }
 
+bool was_reset(tcp::socket& socket)
+{
+    // Set when both directions have ended, and this end has closed none.
+    pollfd it{socket.native_handle(), 0, 0};
+    return ::poll(&it, 1, 0) > 0 && (it.revents & (POLLHUP | POLLERR)) != 0;
+}
+
 bool lacks_resources(const error_code& ec)
 {
     constexpr std::array local_errors{EMFILE, ENFILE, ENOBUFS, ENOMEM,
--- a/src/proxy/socket_state.hpp
+++ b/src/proxy/socket_state.hpp
@@ -17,6 +17,10 @@
 // or the connection has failed, also if unread bytes precede that.
 bool is_closed_by_peer(tcp::socket& socket);
 
+// Returns whether the other end has reset the connection. Also after a write
+// has taken the error from the socket, so that a read sees an orderly end.
+bool was_reset(tcp::socket& socket);
+
 // Returns whether a socket could not be opened, accepted or connected because
 // of a limit of this process or machine.
 bool lacks_resources(const error_code& ec);
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -38,6 +38,13 @@
     return status / 100 == 1;
 }
 
+// Returns whether a response with this status is one; others are bytes of a
+// faulty server.
+bool is_known_status(unsigned status)
+{
+    return status >= 100 && status < 600;
+}
+
 std::chrono::microseconds elapsed_since(time_point from)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(now() - from);
@@ -260,6 +267,8 @@
     buffer.reserve(read_buffer_bytes);
     error_code ec;
     co_await http::async_read_header(socket, buffer, parser, store_error(ec));
+    if (!ec && !is_known_status(parser.get().result_int()))
+        ec = http::error::bad_status;
     const auto length = parser.content_length();
     if (!ec && length && *length > read_buffer_bytes)
         buffer.reserve(body_read_buffer_bytes);
@@ -274,6 +283,8 @@
             co_await http::async_read_some(socket, buffer, parser,
                                            store_error(ec));
     }
+    if (!ec && parser.need_eof() && was_reset(socket))
+        ec = asio::error::connection_reset;
     co_return ec;
 }
 
--- a/test/failure/dataplane_backend_faults.cpp
+++ b/test/failure/dataplane_backend_faults.cpp
@@ -4,6 +4,7 @@
 
 #include "support/backend_calls.hpp"
 #include "support/raw_connection.hpp"
+#include "support/raw_server.hpp"
 #include <parsleyplank/dataplane/backend_client.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -29,6 +30,7 @@
     CPPUNIT_TEST(refused_connection_is_not_sent);
     CPPUNIT_TEST(passed_deadline_is_not_sent);
     CPPUNIT_TEST(damaged_responses_are_lost);
+    CPPUNIT_TEST(a_response_with_an_unknown_status_is_lost);
     CPPUNIT_TEST(late_response_reaches_no_other_request);
     CPPUNIT_TEST(cancelled_request_frees_the_server);
     CPPUNIT_TEST(silent_connection_is_hedged_once);
@@ -142,6 +144,23 @@
         }
     }
 
+    void a_response_with_an_unknown_status_is_lost()
+    {
+        for (const std::string status : {"000", "099", "600", "999"})
+        {
+            const test::raw_server odd(
+                [status](const std::string& /*request*/)
+                {
+                    return test::scripted_response{
+                        test::http_text(status + " Odd", "body"), false};
+                });
+            backend_client client(options);
+            const auto result = run_call(client, make_order(odd.port()));
+            assert_outcome(call_outcome::lost, result);
+            CPPUNIT_ASSERT(result.maybe_sent);
+        }
+    }
+
     void late_response_reaches_no_other_request()
     {
         options.connections_per_upstream = 1;
