Add usage accounting: counts, hand-over, holder and reports

Customers' requests that servers began are counted in windows of the wall clock and reported to the platform by one holder at a time, with a fencing token. Takes effect only where the settings have the duty.

--- a/src/edge/adapter.hpp
+++ b/src/edge/adapter.hpp
@@ -9,6 +9,8 @@
 #include <parsleyplank/steering/rollout_plan.hpp>
 #include <parsleyplank/steering/server_registry.hpp>
 #include <parsleyplank/steering/traffic_config.hpp>
+#include <parsleyplank/usage/hand_over.hpp>
+#include <parsleyplank/usage/report_ledger.hpp>
 
 #include <functional>
 #include <map>
@@ -16,6 +18,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace parsleyplank::edge
 {
@@ -74,6 +77,27 @@
     region_id region;
 };
 
+// A usage report as a POST request to the platform.
+struct usage_request
+{
+    std::string path;
+    // Each "NAME: VALUE".
+    std::vector<std::string> headers;
+    std::string body;
+};
+
+// What a response of the platform to a usage report means.
+enum class usage_verdict
+{
+    accepted,
+    // The platform has seen a higher fencing token.
+    fenced,
+    // To be repeated later.
+    failed,
+    // A repetition has the same result.
+    rejected
+};
+
 struct adapter
 {
     header_names headers;
@@ -103,6 +127,15 @@
         std::span<const steering::server_endpoint> addresses,
         milliseconds time_to_live)>
         format_directory_answer;
+
+    // Name of the duty to report usage.
+    std::string usage_duty;
+    std::function<usage_request(const instance_id& holder,
+                                usage::fence_token token,
+                                const usage::window_report& report)>
+        encode_usage_report;
+    // The status is 0 if there was no response.
+    std::function<usage_verdict(int status)> judge_usage_response;
 };
 
 } // namespace parsleyplank::edge
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -1,6 +1,7 @@
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/core/rendezvous.hpp>
 #include <parsleyplank/edge/control_plane.hpp>
+#include <parsleyplank/edge/usage_store.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -116,6 +117,7 @@
     {
         proxy::asio::post(io, std::move(call));
     };
+    usage = make_usage_control();
     worker = std::make_unique<store_worker>(
         make_store(), [this, post](const std::string& problem)
         { post([this, problem] { note_store_failure(problem); }); });
@@ -139,6 +141,29 @@
             }});
 }
 
+std::unique_ptr<usage_control> control_plane::make_usage_control()
+{
+    if (!has_duty(config.usage, platform.usage_duty))
+        return nullptr;
+    return std::make_unique<usage_control>(
+        config, platform, self.started_ms, options.lease_ttl,
+        usage_links{[this](std::function<void()> call)
+                    { proxy::asio::post(io, std::move(call)); },
+                    [this](store_worker::job work)
+                    { return worker->submit(std::move(work)); },
+                    [this](const member_record& peer, const std::string& bytes)
+                    { send_to(peer, bytes); },
+                    lease},
+        counters);
+}
+
+usage_surroundings
+control_plane::usage_view(const std::vector<const peer_state*>& live) const
+{
+    return {fleet, live, own_criteria(), newest_revision,
+            drain_started_at.has_value()};
+}
+
 void control_plane::run()
 {
     LOG4CPLUS_INFO(log,
@@ -384,6 +409,9 @@
         if (const auto id = after_prefix(key, roster_prefix))
             listed_members.insert(instance_id(*id));
     retain_roster_members(roster, listed_members);
+    if (usage)
+        usage->apply_listing(present.contains(usage_holder_key()),
+                             all.store_revision);
     const auto gone = [&](const failure_domain_id& id)
     {
         return !present.contains(platform.layout.evacuation_prefix + id.value);
@@ -512,6 +540,8 @@
             put_roster_member(roster, instance_id(*id),
                               unpack_value<roster_record>(it.value, it.key),
                               it.key_revision, now());
+        else if (it.key.starts_with(usage_prefix) && usage)
+            usage->apply_entry(it);
         else if (const auto service =
                      after_prefix(it.key, rollout_record_prefix))
         {
@@ -567,6 +597,8 @@
     }
     else if (const auto id = after_prefix(key, roster_prefix))
         remove_roster_member(roster, instance_id(*id));
+    else if (key.starts_with(usage_prefix) && usage)
+        usage->apply_removal(key, applied_revision);
 }
 
 void control_plane::apply_configuration(const store::entry& it)
@@ -613,9 +645,11 @@
         [this, held = lease, record = self](store::lease_store& store)
         {
             const auto key = std::string(member_prefix) + record.id.value;
+            const auto began = boot_now();
             if (*held != store::lease_id(0) && store.renew_lease(*held))
             {
-                proxy::asio::post(io, [this] { note_store_response(); });
+                proxy::asio::post(io, [this, began]
+                                  { note_renewal(began, false); });
                 return;
             }
             *held = store::lease_id(0);
@@ -624,10 +658,17 @@
                 store.commit({{}, {{key, pack_value(record), fresh}}, {}});
             if (outcome == store::commit_outcome::applied)
                 *held = fresh;
-            proxy::asio::post(io, [this] { note_store_response(); });
+            proxy::asio::post(io, [this, began] { note_renewal(began, true); });
         });
 }
 
+void control_plane::note_renewal(boot_time began, bool new_lease)
+{
+    note_store_response();
+    if (usage)
+        usage->note_renewal(began, new_lease);
+}
+
 void control_plane::deregister()
 {
     // Ends the lease rather than removing the key: if the call takes effect
@@ -774,6 +815,14 @@
 {
     try
     {
+        if (is_usage_message({datagram.data(), n}))
+        {
+            if (usage)
+                usage->receive(
+                    {datagram.data(), n},
+                    usage_view(live_peers(fleet, options.fleet, now())));
+            return;
+        }
         const auto digest = unpack_value<member_digest>(
             {datagram.data(), n}, sender.address().to_string());
         const auto known = fleet.peers.find(digest.id);
@@ -897,6 +946,8 @@
     const auto live = live_peers(fleet, options.fleet, now());
     update_watch_source(live);
     notify_store_watchers();
+    if (usage)
+        usage->step(usage_view(live), report.usage_changes);
     std::vector<instance_id> ids{self.id};
     for (const auto* peer : live)
         ids.push_back(peer->record.id);
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -14,6 +14,7 @@
 #include <parsleyplank/edge/store_feed.hpp>
 #include <parsleyplank/edge/store_worker.hpp>
 #include <parsleyplank/edge/traffic_plane.hpp>
+#include <parsleyplank/edge/usage_control.hpp>
 
 #include <array>
 #include <filesystem>
@@ -140,6 +141,8 @@
 
     // Registration of this instance.
     void renew_registration();
+    // The renewal of the lease that began then has succeeded.
+    void note_renewal(boot_time began, bool new_lease);
     void deregister();
     // Registers this instance again after its key was removed.
     void restore_registration();
@@ -179,6 +182,11 @@
     void publish_soon();
     void update_servers(steering_snapshot& next);
 
+    // Returns usage accounting, or nullptr if the settings do not ask for it.
+    std::unique_ptr<usage_control> make_usage_control();
+    usage_surroundings
+    usage_view(const std::vector<const peer_state*>& live) const;
+
     void begin_drain();
     // Sets the times at which this instance accepts no more connections and at
     // which it exits.
@@ -266,6 +274,9 @@
     std::optional<time_point> drain_started_at;
     bool ending = false;
 
+    // Before the worker, whose jobs access it.
+    std::unique_ptr<usage_control> usage;
+
     // Last members, so that their threads are joined before the members are
     // destroyed that their callbacks access.
     std::unique_ptr<store_worker> worker;
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -354,6 +354,7 @@
     tried.push_back(server->id);
     auto request = make_request(placed);
     state.loads[server->id].in_flight[number] = {now(), placed.rank.expected};
+    const auto counted = count_send_usage(placed);
     call = std::make_shared<proxy::upstream_call>(context.pool, server);
     // Named variables, because GCC 12 destroys temporaries of a co_await twice.
     proxy::correlation echo{context.platform.headers.request_id,
@@ -368,11 +369,28 @@
         result.outcome != proxy::call_outcome::no_resources)
         ++sends;
     record_call(placed, result);
+    if (counted)
+        correct_usage(
+            state.usage, *counted, result,
+            was_run(result, !header_value(result.response,
+                                          context.platform.headers.not_executed)
+                                 .empty()),
+            load.round_trip, boot_now());
     if (ex->cancelled)
         co_return next_step::done;
     co_return handle_result(placed, result);
 }
 
+std::optional<counted_send>
+request_flow::count_send_usage(const server_placement& placed)
+{
+    if (customer == nullptr)
+        return std::nullopt;
+    return count_usage(context.state.usage, customer->id,
+                       context.state.loads[placed.server->id].round_trip,
+                       boot_now());
+}
+
 void request_flow::record_call(const server_placement& placed,
                                const proxy::call_result& result)
 {
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -75,6 +75,9 @@
                             proxy::call_result& result);
     next_step handle_failure(const server_placement& placed,
                              const proxy::call_result& result);
+    // Counts the send for the customer, if usage is accounted for.
+    std::optional<counted_send>
+    count_send_usage(const server_placement& placed);
     // Updates the state of the server with the result of a call.
     void record_call(const server_placement& placed,
                      const proxy::call_result& result);
--- a/src/edge/settings.cpp
+++ b/src/edge/settings.cpp
@@ -1,6 +1,8 @@
 #include <parsleyplank/edge/settings.hpp>
 #include <parsleyplank/settings/table_reader.hpp>
 
+#include <algorithm>
+
 namespace parsleyplank::edge
 {
 
@@ -54,14 +56,41 @@
     in.reject_unknown();
 }
 
+void read_usage(table_reader in, usage_settings& usage)
+{
+    read_endpoint(in, "platform", usage.platform, false);
+    in.text("duties", usage.duties, false);
+    in.duration("window", usage.window, false);
+    in.duration("late", usage.late, false);
+    in.duration("lease", usage.lease, false);
+    in.duration("thaw", usage.thaw, false);
+    in.reject_unknown();
+}
+
 } // namespace
 
+bool has_duty(const usage_settings& usage, std::string_view name)
+{
+    if (usage.platform.port == 0 || usage.window <= milliseconds(0))
+        return false;
+    std::string_view rest = usage.duties;
+    while (!rest.empty())
+    {
+        const auto end = std::min(rest.find(','), rest.size());
+        if (rest.substr(0, end) == name)
+            return true;
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+    }
+    return false;
+}
+
 settings parse_settings(std::string_view text, const std::string& name)
 {
     settings s;
     settings_file::parse_sections(
         text, name,
-        {"instance", "listen", "store", "failure_domains", "bounds", "logging"},
+        {"instance", "listen", "store", "failure_domains", "bounds", "usage",
+         "logging"},
         [&](const toml::table& root, std::vector<std::string>& problems)
         {
             read_instance({root, "instance", name, problems}, s);
@@ -74,6 +103,7 @@
                 [&](const std::string& domain, const std::string& region)
                 { s.regions[failure_domain_id(domain)] = region_id(region); });
             read_bounds({root, "bounds", name, problems}, s.bounds);
+            read_usage({root, "usage", name, problems}, s.usage);
             table_reader logging(root, "logging", name, problems);
             logging.text("level", s.log_level, false);
             logging.number("lines_per_s", s.log_lines_per_s, 1, false);
--- a/src/edge/settings.hpp
+++ b/src/edge/settings.hpp
@@ -47,6 +47,26 @@
 // failed: several missed digests, well before the bound on contact.
 milliseconds contact_timeout(const fleet_bounds& bounds);
 
+// The duty to report usage to the platform.
+struct usage_settings
+{
+    // Address of the platform for reports; port 0 if there is none.
+    steering::server_endpoint platform;
+    // Names of the duties that the platform knows, with commas between them.
+    std::string duties;
+    // Length of the windows in which requests are counted, and the time after
+    // the end of a window in which its report is due.
+    milliseconds window{5'000};
+    milliseconds late{10'000};
+    // Time in which the duty must not return to an instance that has lost it,
+    // and time that an instance has to stop after a pause.
+    milliseconds lease{3'000};
+    milliseconds thaw{300};
+};
+
+// Returns whether the duty with this name is to be done.
+bool has_duty(const usage_settings& usage, std::string_view name);
+
 struct settings
 {
     // [instance]
@@ -78,6 +98,9 @@
     // [bounds]
     fleet_bounds bounds;
 
+    // [usage]
+    usage_settings usage;
+
     // [logging]
     std::string log_level = "INFO";
     // Largest number of log lines per second. Further lines are dropped and
--- a/src/edge/snapshot.hpp
+++ b/src/edge/snapshot.hpp
@@ -10,6 +10,7 @@
 #include <parsleyplank/steering/rollout_plan.hpp>
 #include <parsleyplank/steering/routing_table.hpp>
 #include <parsleyplank/steering/server_registry.hpp>
+#include <parsleyplank/usage/window.hpp>
 
 #include <map>
 #include <memory>
@@ -106,6 +107,8 @@
 {
     tally_table tallies;
     std::vector<known_limit> limits;
+    // Changes of the usage counts since the last report.
+    usage::window_counts usage_changes;
 };
 
 } // namespace parsleyplank::edge
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -98,6 +98,7 @@
       sweep_timer(io), token_timer(io)
 {
     state.config = config;
+    state.usage = make_usage_meter(config.usage, adapted.usage_duty);
     state.tokens.self = config.id;
     state.tokens.region = config.region;
     state.tokens.rng.seed(std::random_device{}());
@@ -152,8 +153,14 @@
 
 void traffic_plane::collect(std::function<void(traffic_report)> take)
 {
-    proxy::asio::post(io, [this, take = std::move(take)]
-                      { take(make_report(state, now())); });
+    proxy::asio::post(io,
+                      [this, take = std::move(take)]
+                      {
+                          auto report = make_report(state, now());
+                          report.usage_changes = collect_usage(
+                              state.usage, boot_now(), unix_now());
+                          take(report);
+                      });
 }
 
 void traffic_plane::stop_accepting(std::function<void()> on_drained)
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -9,6 +9,7 @@
 #include <parsleyplank/edge/settings.hpp>
 #include <parsleyplank/edge/snapshot.hpp>
 #include <parsleyplank/edge/token_pool.hpp>
+#include <parsleyplank/edge/usage_meter.hpp>
 #include <parsleyplank/placement/retry_budget.hpp>
 #include <parsleyplank/steering/region_shift.hpp>
 #include <parsleyplank/steering/server_notice.hpp>
@@ -67,6 +68,7 @@
     // Accumulated fraction of a request that is due to the target version.
     std::unordered_map<service_id, double> target_credit;
     tally_table tallies;
+    usage_meter usage;
     // Set when the first request is placed that could be served in this region
     // or in another.
     std::optional<steering::region_shift> shift;
--- a/src/store/http_call.cpp
+++ b/src/store/http_call.cpp
@@ -90,18 +90,37 @@
     ~state()
     {
         curl_slist_free_all(headers);
+        curl_slist_free_all(all_headers);
         curl_easy_cleanup(easy);
     }
 
     state(const state&) = delete;
     state& operator=(const state&) = delete;
 
-    void add_header(const char* line)
+    static void append(curl_slist*& to, const char* line)
     {
-        auto* list = curl_slist_append(headers, line);
+        auto* list = curl_slist_append(to, line);
         if (list == nullptr)
             throw error("libcurl has no memory for a header");
-        headers = list;
+        to = list;
+    }
+
+    void add_header(const char* line)
+    {
+        append(headers, line);
+    }
+
+    // Sends these headers beside those of all requests.
+    void set_headers(const std::vector<std::string>& more)
+    {
+        if (more.empty() && all_headers == nullptr)
+            return;
+        curl_slist_free_all(std::exchange(all_headers, nullptr));
+        for (const auto* it = headers; it != nullptr; it = it->next)
+            append(all_headers, it->data);
+        for (const auto& it : more)
+            append(all_headers, it.c_str());
+        set(CURLOPT_HTTPHEADER, all_headers);
     }
 
     template <typename Value>
@@ -122,6 +141,8 @@
     std::string authority;
     CURL* easy = nullptr;
     curl_slist* headers = nullptr;
+    // The headers of the last request with further ones; null before the first.
+    curl_slist* all_headers = nullptr;
     received_response response;
     std::array<char, CURL_ERROR_SIZE> message{};
 };
@@ -201,8 +222,10 @@
 http_call::~http_call() = default;
 
 http_response http_call::post(const std::string& path, const std::string& body,
-                              connection_use use, milliseconds extra_wait)
+                              connection_use use, milliseconds extra_wait,
+                              const std::vector<std::string>& more_headers)
 {
+    self->set_headers(more_headers);
     self->set_connection_use(use);
     self->set(CURLOPT_POST, 1L);
     self->set(CURLOPT_POSTFIELDSIZE_LARGE,
--- a/src/store/http_call.hpp
+++ b/src/store/http_call.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace parsleyplank::store
 {
@@ -70,9 +71,11 @@
     http_call& operator=(const http_call&) = delete;
 
     // Sends the body by POST and returns the response with any status. Waits
-    // for the call timeout plus the extra wait. Throws transfer_error.
+    // for the call timeout plus the extra wait. The further headers, each
+    // "NAME: VALUE", are sent with this request only. Throws transfer_error.
     http_response post(const std::string& path, const std::string& body,
-                       connection_use use, milliseconds extra_wait);
+                       connection_use use, milliseconds extra_wait,
+                       const std::vector<std::string>& more_headers = {});
 
     // Reads a resource by GET, over a reused connection. Waits for the call
     // timeout plus the extra wait. Throws transfer_error.
