Hand the sums of windows to the next holder at a planned stop

What callers saw: nothing. Cause: instances keep what they told the holder and tell it the next one, but those that had been stopped before the holder were gone. Change: a draining holder leaves its sums in the store, in the transaction that removes its record; the next holder's record names the tokens whose sums it has, and what was told to these is not told again. Late counts are logged once a step, and not for windows that an earlier holder has closed.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -1123,6 +1123,8 @@
     drain_started_at = now();
     schedule_stop();
     publish();
+    if (usage)
+        usage->leave();
     deregister();
     // The traffic thread has stopped issuing when the snapshot is adopted,
     // which takes less time than the others need to learn of the removal.
--- a/src/edge/usage_control.cpp
+++ b/src/edge/usage_control.cpp
@@ -114,7 +114,7 @@
     ledger.options.closing_delay = closing_delay(interval, ledger.options.late);
     usage::add_counts(sender.pending, counted);
     if (is_holder())
-        report(around.draining);
+        report();
     else
         claim_if_due(around);
     // A draining instance has little time left.
@@ -157,7 +157,7 @@
 {
     if (usage::note_record(duty, record, boot_now()))
         log_lost("another_holder");
-    usage::set_holder(sender, record.token);
+    usage::set_holder(sender, record.token, record.inherits);
 }
 
 bool usage_control::precedes_claim(revision seen) const
@@ -178,6 +178,21 @@
         apply_removal(usage_holder_key(), seen);
 }
 
+void usage_control::leave()
+{
+    if (!is_holder())
+        return;
+    // Nothing is added to the sums after this, and what arises here goes to the
+    // next holder.
+    LOG4CPLUS_INFO(log, "event=usage_duty_left token=" << duty.held->value);
+    links.submit([holder = duty.held_revision,
+                  sums = usage::sums_record{*duty.held, inherited,
+                                            usage::unwritten_sums(ledger)}](
+                     store::lease_store& store)
+                 { leave_duty(store, holder, sums); });
+    usage::end_duty(duty, boot_now());
+}
+
 void usage_control::note_renewal(boot_time began, bool new_lease)
 {
     usage::note_renewal(duty, began);
@@ -240,8 +255,9 @@
         return;
     }
     usage::begin_duty(duty, *found.holder, found.holder_revision);
-    usage::set_holder(sender, found.holder->token);
-    usage::begin_reports(ledger, found.reports, wall());
+    inherited = found.holder->inherits;
+    usage::set_holder(sender, found.holder->token, found.holder->inherits);
+    usage::begin_reports(ledger, found.reports, wall(), found.left.sums);
     // The reports that it has lost may have been sent.
     const bool older = keys.store_revision < newest_revision;
     if (older)
@@ -250,20 +266,20 @@
                             << found.holder->token.value
                             << " first_window=" << ledger.first.value
                             << " stored_reports=" << found.reports.size()
+                            << " left_windows=" << found.left.sums.size()
                             << " store_older=" << older);
 }
 
-void usage_control::report(bool draining)
+void usage_control::report()
 {
-    count_late(usage::add_to_sums(ledger, usage::tell_self(sender)));
+    late_requests += usage::add_to_sums(ledger, usage::tell_self(sender));
+    log_late_counts();
     for (const auto& window : usage::step_reports(ledger, wall()))
     {
         ++missed;
         LOG4CPLUS_WARN(log,
                        "event=usage_report_missed window=" << window.value);
     }
-    if (draining)
-        return;
     if (const auto* closed = usage::next_write(ledger);
         closed != nullptr && !write_pending)
         write_report(closed->report);
@@ -439,18 +455,19 @@
         for (const auto& it : batch.changes)
             usage::add_count(counts, it.window, it.customer, it.change);
         if (is_holder())
-            count_late(usage::add_to_sums(ledger, counts));
+            late_requests += usage::add_to_sums(ledger, counts);
         else
             usage::add_counts(sender.pending, counts);
     }
     send(from.record, {self, started_ms, batch.number, true, *token, {}});
 }
 
-void usage_control::count_late(std::int64_t requests)
+void usage_control::log_late_counts()
 {
+    const auto requests = late_requests - logged_late_requests;
     if (requests == 0)
         return;
-    late_requests += requests;
+    logged_late_requests = late_requests;
     LOG4CPLUS_WARN(log, "event=usage_counts_late requests=" << requests);
 }
 
--- a/src/edge/usage_control.hpp
+++ b/src/edge/usage_control.hpp
@@ -75,6 +75,11 @@
     // Applies whether a complete listing has the record of the holder.
     void apply_listing(bool has_holder, revision seen);
 
+    // Leaves the duty to another instance, with the sums of its windows, and
+    // takes no further counts of others. Call when this instance drains, before
+    // its registration ends.
+    void leave();
+
     // Notes that a renewal of the lease that began then has succeeded. A new
     // lease has no record of the holder.
     void note_renewal(boot_time began, bool new_lease);
@@ -96,7 +101,7 @@
     void end_claim(const store::list_result& keys);
 
     // Duties of the holder.
-    void report(bool draining);
+    void report();
     void write_report(const usage::window_report& closed);
     void end_write(const std::optional<usage::window_report>& stored,
                    usage::window_id wanted);
@@ -110,7 +115,7 @@
                     bool draining);
     void send(const member_record& to, const usage::usage_message& message);
     void forget_old_windows();
-    void count_late(std::int64_t requests);
+    void log_late_counts();
     void report_metrics();
 
     const adapter& platform;
@@ -121,6 +126,8 @@
     log4cplus::Logger log;
     usage::window_clock clock;
     usage::duty_state duty;
+    // Tokens of the former holders whose sums the ledger has.
+    usage::fence_tokens inherited;
     usage::report_ledger ledger;
     usage::count_sender sender;
     usage::count_receiver receiver;
@@ -133,6 +140,7 @@
     std::uint64_t accepted = 0;
     std::uint64_t missed = 0;
     std::int64_t late_requests = 0;
+    std::int64_t logged_late_requests = 0;
     // Last member, so that its thread ends before the others are destroyed.
     usage_caller caller;
 };
--- a/src/edge/usage_store.cpp
+++ b/src/edge/usage_store.cpp
@@ -18,6 +18,11 @@
     return std::string(usage_prefix) + "report/";
 }
 
+std::string sums_key()
+{
+    return std::string(usage_prefix) + "sums";
+}
+
 // Returns whether the process may replace the record of the holder.
 bool may_replace(const usage::duty_state& duty,
                  const std::optional<usage::holder_record>& holder)
@@ -49,12 +54,20 @@
                 unpack_value<usage::fence_record>(it.value, it.key).highest;
             found.fence_revision = it.key_revision;
         }
+        else if (it.key == sums_key())
+            found.left = unpack_value<usage::sums_record>(it.value, it.key);
         else if (it.key.starts_with(report_prefix()))
         {
             const auto report =
                 unpack_value<usage::window_report>(it.value, it.key);
             found.reports[report.window] = report;
         }
+    // Sums that another holder has left since are not those to take over.
+    const bool is_next = found.holder ? found.holder->inherits ==
+                                            usage::inherited_tokens(found.left)
+                                      : found.highest_token == found.left.token;
+    if (!is_next)
+        found.left = {};
     return found;
 }
 
@@ -72,7 +85,12 @@
     const auto token = usage::next_token(
         highest, std::chrono::duration_cast<milliseconds>(now).count(),
         duty.self);
-    const usage::holder_record record{duty.self, duty.started_ms, token};
+    // A record that is replaced is that of this process, to which counts were
+    // told after it had taken over the sums.
+    const usage::holder_record record{
+        duty.self, duty.started_ms, token,
+        found.holder ? usage::fence_tokens()
+                     : usage::inherited_tokens(found.left)};
     const auto outcome =
         store.commit({{{usage_holder_key(), found.holder_revision},
                        {fence_key(), found.fence_revision}},
@@ -84,6 +102,14 @@
                                                      : keys;
 }
 
+void leave_duty(store::lease_store& store, revision holder_revision,
+                const usage::sums_record& sums)
+{
+    store.commit({{{usage_holder_key(), holder_revision}},
+                  {{sums_key(), pack_value(sums), store::lease_id(0)}},
+                  {usage_holder_key()}});
+}
+
 std::optional<usage::window_report>
 store_report(store::lease_store& store, std::uint64_t place,
              revision holder_revision, const usage::window_report& report)
--- a/src/edge/usage_store.hpp
+++ b/src/edge/usage_store.hpp
@@ -30,6 +30,8 @@
     usage::fence_token highest_token;
     revision fence_revision;
     std::map<usage::window_id, usage::window_report> reports;
+    // Sums of the holder before this one; empty if it has left none.
+    usage::sums_record left;
 };
 
 // Throws codec_error if a record is malformed.
@@ -44,6 +46,12 @@
                               const usage::duty_state& duty,
                               usage::unix_time now);
 
+// Removes the record of this process as the holder and leaves its sums to the
+// next one. Does nothing if the record is not that of this revision. Throws as
+// claim_duty does.
+void leave_duty(store::lease_store& store, revision holder_revision,
+                const usage::sums_record& sums);
+
 // Writes the report at its place if the record of the holder has this revision.
 // Returns the report that lies there then, which an earlier holder may have
 // written; nullopt if nothing was written. Throws as claim_duty does.
--- a/src/usage/duty.cpp
+++ b/src/usage/duty.cpp
@@ -26,6 +26,18 @@
     return fence_token(high * claimants + hash64(claimant.value) % claimants);
 }
 
+fence_tokens inherited_tokens(const sums_record& left)
+{
+    constexpr std::size_t max_tokens = 8;
+    fence_tokens tokens;
+    if (left.token == fence_token(0))
+        return tokens;
+    tokens = left.inherits;
+    tokens.insert(tokens.begin(), left.token);
+    tokens.resize(std::min(tokens.size(), max_tokens));
+    return tokens;
+}
+
 bool note_record(duty_state& duty, const holder_record& record, boot_time now)
 {
     duty.current = record;
--- a/src/usage/duty.hpp
+++ b/src/usage/duty.hpp
@@ -20,12 +20,31 @@
     // Start time of its process in Unix milliseconds.
     std::uint64_t started_ms = 0;
     fence_token token;
+    // Tokens of the former holders whose sums this one has taken over.
+    fence_tokens inherits;
 
     bool operator==(const holder_record&) const = default;
 
-    MSGPACK_DEFINE_ARRAY(holder, started_ms, token)
+    MSGPACK_DEFINE_ARRAY(holder, started_ms, token, inherits)
 };
 
+// The sums that a holder with this token has left at a planned stop.
+struct sums_record
+{
+    fence_token token;
+    // Tokens of the former holders whose sums are among these.
+    fence_tokens inherits;
+    window_counts sums;
+
+    bool operator==(const sums_record&) const = default;
+
+    MSGPACK_DEFINE_ARRAY(token, inherits, sums)
+};
+
+// Returns the tokens whose sums the next holder takes over: those of the latest
+// holders, since windows are short.
+fence_tokens inherited_tokens(const sums_record& left);
+
 // The highest token that was given, which outlives the record of the holder.
 struct fence_record
 {
--- a/src/usage/hand_over.cpp
+++ b/src/usage/hand_over.cpp
@@ -1,5 +1,6 @@
 #include <parsleyplank/usage/hand_over.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace parsleyplank::usage
@@ -17,6 +18,11 @@
         add_count(counts, it.window, it.customer, it.change);
 }
 
+bool contains(const fence_tokens& tokens, fence_token token)
+{
+    return std::ranges::find(tokens, token) != tokens.end();
+}
+
 } // namespace
 
 std::vector<count_change> take_batch(window_counts& counts,
@@ -74,17 +80,21 @@
     if (token == fence_token(0))
         return true;
     set_holder(sender, token);
-    add_changes(token == sender.told_token ? sender.told : sender.pending,
-                batch->changes);
+    const bool told =
+        token == sender.told_token || contains(sender.inherited_tokens, token);
+    add_changes(told ? sender.told : sender.pending, batch->changes);
     return true;
 }
 
-void set_holder(count_sender& sender, fence_token token)
+void set_holder(count_sender& sender, fence_token token,
+                const fence_tokens& inherits)
 {
     if (token <= sender.told_token)
         return;
+    if (!contains(inherits, sender.told_token))
+        add_counts(sender.pending, std::exchange(sender.told, {}));
     sender.told_token = token;
-    add_counts(sender.pending, std::exchange(sender.told, {}));
+    sender.inherited_tokens = inherits;
 }
 
 window_counts tell_self(count_sender& sender)
--- a/src/usage/hand_over.hpp
+++ b/src/usage/hand_over.hpp
@@ -18,6 +18,7 @@
 
 // Fencing token of a holder; 0 means none.
 using fence_token = number_id<struct fence_token_tag>;
+using fence_tokens = std::vector<fence_token>;
 
 // Change of the count of one customer in one window.
 struct count_change
@@ -80,6 +81,8 @@
     // Counts that the holder with this token has taken.
     window_counts told;
     fence_token told_token;
+    // The former holders whose counts that holder has taken over.
+    fence_tokens inherited_tokens;
 };
 
 // Returns the changes that fit into one batch, and removes them from the
@@ -100,9 +103,11 @@
 bool acknowledge(count_sender& sender, const instance_id& from,
                  std::uint64_t number, fence_token token);
 
-// Returns what an earlier holder was told to the pending counts. Ignores a
-// token that is not higher than the known one.
-void set_holder(count_sender& sender, fence_token token);
+// Records the token of the holder. What a former one was told becomes pending
+// again, unless the holder has taken over its sums: `inherits` has its token.
+// Ignores a token that is not higher than the known one.
+void set_holder(count_sender& sender, fence_token token,
+                const fence_tokens& inherits = {});
 
 // Moves the pending counts of the holder itself to those told, and returns
 // them.
--- a/src/usage/report_ledger.cpp
+++ b/src/usage/report_ledger.cpp
@@ -44,9 +44,9 @@
 
 void begin_reports(report_ledger& ledger,
                    const std::map<window_id, window_report>& stored,
-                   unix_time now)
+                   unix_time now, window_counts left_sums)
 {
-    ledger.sums.clear();
+    ledger.sums = std::move(left_sums);
     ledger.began = now;
     ledger.first = std::max(first_in_time(ledger, now), ledger.first_recorded);
     // Reports that were not written were not sent either.
@@ -56,10 +56,21 @@
         if (window >= first_in_time(ledger, now))
         {
             note_written(ledger, report);
-            ledger.reports.at(window).next_call = now;
+            auto& state = ledger.reports.at(window);
+            state.next_call = now;
+            state.inherited = true;
         }
 }
 
+window_counts unwritten_sums(const report_ledger& ledger)
+{
+    auto sums = ledger.sums;
+    for (const auto& [window, state] : ledger.reports)
+        if (state.phase == report_phase::closed)
+            add_counts(sums, {{window, state.report.counts}});
+    return sums;
+}
+
 void skip_unrecorded(report_ledger& ledger, unix_time now)
 {
     const auto current = window_at(now, ledger.options.window_length);
@@ -71,11 +82,15 @@
 {
     std::int64_t late = 0;
     for (const auto& [window, customers] : counts)
+    {
+        const auto closed = ledger.reports.find(window);
         for (const auto& [customer, count] : customers)
-            if (window < ledger.first || ledger.reports.contains(window))
-                late += count;
-            else
+            if (closed == ledger.reports.end() && window >= ledger.first)
                 add_count(ledger.sums, window, customer, count);
+            else if (closed == ledger.reports.end() ||
+                     !closed->second.inherited)
+                late += count;
+    }
     return late;
 }
 
--- a/src/usage/report_ledger.hpp
+++ b/src/usage/report_ledger.hpp
@@ -62,6 +62,8 @@
     unix_time next_call{0};
     milliseconds retry_interval{0};
     int calls = 0;
+    // Whether an earlier holder has closed the window.
+    bool inherited = false;
 };
 
 struct report_ledger
@@ -80,18 +82,22 @@
     window_id first_recorded;
 };
 
-// Begins the duty with the reports that the store has. Windows that are not
-// among them are closed if they end within the time of their reports.
+// Begins the duty with the reports that the store has, and with the sums that a
+// former holder has left. Windows that are not among the reports are closed if
+// they end within the time of their reports.
 void begin_reports(report_ledger& ledger,
                    const std::map<window_id, window_report>& stored,
-                   unix_time now);
+                   unix_time now, window_counts left_sums = {});
+
+// Returns the sums of the windows that have no written report, for a successor.
+window_counts unwritten_sums(const report_ledger& ledger);
 
 // Leaves out the windows that ended before this time and have no report: the
 // store has come back older, and their reports may have been sent.
 void skip_unrecorded(report_ledger& ledger, unix_time now);
 
 // Adds counts to the sums; returns the number of requests that come too late
-// for their window.
+// for a window that this holder has closed.
 std::int64_t add_to_sums(report_ledger& ledger, const window_counts& counts);
 
 // Closes the windows that are due, and forgets those whose time is over.
--- a/test/correctness/usage_hand_over.cpp
+++ b/test/correctness/usage_hand_over.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(a_repeated_batch_is_taken_once);
     CPPUNIT_TEST(a_restarted_sender_is_told_from_its_predecessor);
     CPPUNIT_TEST(what_a_holder_was_told_is_told_to_the_next);
+    CPPUNIT_TEST(what_a_holder_was_told_is_not_told_to_its_heir);
     CPPUNIT_TEST(an_acknowledgement_by_a_former_holder_counts_for_nothing);
     CPPUNIT_TEST(the_holder_tells_its_own_counts_to_its_successor);
     CPPUNIT_TEST(a_batch_fits_into_one_datagram);
@@ -145,6 +146,22 @@
         CPPUNIT_ASSERT(sender.told.empty());
     }
 
+    // Guards against counts that are in the sums twice after a planned stop of
+    // the holder, also if the acknowledgement or one holder was missed.
+    void what_a_holder_was_told_is_not_told_to_its_heir()
+    {
+        acknowledge(sender, holder, next(holder)->number, fence_token(5));
+        add_count(sender.pending, window, shop, 2);
+        const auto number = next(holder)->number;
+        set_holder(sender, fence_token(7), {fence_token(6), fence_token(5)});
+        acknowledge(sender, holder, number, fence_token(5));
+        CPPUNIT_ASSERT(sender.pending.empty());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), total(sender.told));
+        // The heir is killed.
+        set_holder(sender, fence_token(8));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), total(sender.pending));
+    }
+
     void an_acknowledgement_by_a_former_holder_counts_for_nothing()
     {
         const auto number = next(holder)->number;
--- a/test/failure/usage_holders.cpp
+++ b/test/failure/usage_holders.cpp
@@ -71,7 +71,7 @@
             return false;
         note_renewal(duty, boot);
         begin_duty(duty, *found.holder, found.holder_revision);
-        begin_reports(ledger, found.reports, wall);
+        begin_reports(ledger, found.reports, wall, found.left.sums);
         return true;
     }
 
@@ -124,6 +124,8 @@
     CPPUNIT_TEST(a_call_that_is_executed_late_changes_nothing);
     CPPUNIT_TEST(a_write_that_is_executed_late_changes_nothing);
     CPPUNIT_TEST(a_new_process_of_the_holder_takes_a_new_token);
+    CPPUNIT_TEST(a_stopped_holder_leaves_its_sums_to_the_next);
+    CPPUNIT_TEST(sums_are_not_taken_over_from_an_earlier_holder);
     CPPUNIT_TEST(a_fenced_holder_takes_a_new_token_from_the_store);
     CPPUNIT_TEST(tokens_are_not_given_again_after_the_store_has_fallen_back);
     CPPUNIT_TEST_SUITE_END();
@@ -162,6 +164,13 @@
         next.write();
     }
 
+    static void leave(holder& it)
+    {
+        edge::leave_duty(it.store, it.duty.held_revision,
+                         {*it.duty.held, it.duty.current->inherits,
+                          unwritten_sums(it.ledger)});
+    }
+
     void accept(const std::optional<platform_call>& call)
     {
         CPPUNIT_ASSERT(call.has_value());
@@ -295,6 +304,44 @@
         CPPUNIT_ASSERT(*restarted.duty.held > *a.duty.held);
     }
 
+    // Guards against a restart of one instance after the other: what instances
+    // had told the holder before they ended was lost when it was stopped too.
+    void a_stopped_holder_leaves_its_sums_to_the_next()
+    {
+        holder a(data, "a");
+        holder b(data, "b");
+        CPPUNIT_ASSERT(a.claim(boot, wall));
+        close(a, 7);
+        leave(a);
+        CPPUNIT_ASSERT(!a.write());
+        CPPUNIT_ASSERT(b.claim(boot, wall));
+        CPPUNIT_ASSERT(b.duty.current->inherits == fence_tokens{*a.duty.held});
+        b.add(window, 2);
+        pass(b.ledger.options.settle_delay);
+        note_renewal(b.duty, boot);
+        step_reports(b.ledger, wall);
+        CPPUNIT_ASSERT(b.write());
+        accept(b.call(boot, wall));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(9), accepted_count());
+    }
+
+    // All tell the successor of a killed holder again what they told before, so
+    // sums of earlier holders must not be added.
+    void sums_are_not_taken_over_from_an_earlier_holder()
+    {
+        holder a(data, "a");
+        holder b(data, "b");
+        holder c(data, "c");
+        CPPUNIT_ASSERT(a.claim(boot, wall));
+        a.add(window, 7);
+        leave(a);
+        CPPUNIT_ASSERT(b.claim(boot, wall));
+        b.store.end_lease(b.lease);
+        CPPUNIT_ASSERT(c.claim(boot, wall));
+        CPPUNIT_ASSERT(c.ledger.sums.empty());
+        CPPUNIT_ASSERT(c.duty.current->inherits.empty());
+    }
+
     void a_fenced_holder_takes_a_new_token_from_the_store()
     {
         holder a(data, "a");
--- a/test/support/edge_fixture.hpp
+++ b/test/support/edge_fixture.hpp
@@ -54,9 +54,11 @@
 {
 public:
     explicit edge_fixture(bool strict_keys = false,
-                          std::uint32_t memory_mb = 256)
+                          std::uint32_t memory_mb = 256,
+                          edge::usage_settings usage = {})
         : adapter(platform::make_adapter())
     {
+        config.usage = std::move(usage);
         config.bounds.strict_keys = strict_keys;
         config.memory_mb = memory_mb;
         config.id = instance_id("edge-1");
