--- a/src/edge/usage_control.cpp
+++ b/src/edge/usage_control.cpp
@@ -283,8 +283,13 @@
     if (const auto* closed = usage::next_write(ledger);
         closed != nullptr && !write_pending)
         write_report(closed->report);
-    if (const auto* due = usage::next_call(ledger, wall());
-        due != nullptr && !call_pending)
+    call_if_due();
+}
+
+void usage_control::call_if_due()
+{
+    const auto* due = usage::next_call(ledger, wall());
+    if (due != nullptr && !call_pending)
         call_platform(*due);
 }
 
@@ -333,6 +338,8 @@
                             << wanted.value
                             << " customers=" << stored->counts.size()
                             << " requests=" << requests);
+    // A report of a window that ended long ago may be almost late.
+    call_if_due();
 }
 
 void usage_control::call_platform(const usage::report_state& due)
--- a/src/edge/usage_control.hpp
+++ b/src/edge/usage_control.hpp
@@ -105,6 +105,8 @@
     void write_report(const usage::window_report& closed);
     void end_write(const std::optional<usage::window_report>& stored,
                    usage::window_id wanted);
+    // Sends the oldest report that is due.
+    void call_if_due();
     void call_platform(const usage::report_state& due);
     void end_call(usage::fence_token token, usage::window_id window,
                   const usage_call_result& result);
