Count the messages that instances send to their peers by kind

Operators could not tell which exchange between instances takes how many bytes: only the sum of a machine's link was known. The new counters parsleyplank_peer_messages_sent_total and parsleyplank_peer_bytes_sent_total name digests, greetings, notices, tokens and relayed changes, and the log has their sums every ten seconds (event=sent_to_peers). event=listed names the bytes of a listing.

Tests: edge_change_relay (all answers counted), edge_metrics.sh (the counter is shown).

--- a/src/edge/change_relay.cpp
+++ b/src/edge/change_relay.cpp
@@ -34,11 +34,6 @@
     return pack_value(body);
 }
 
-void answer(proxy::exchange& ex, const store::list_result& result)
-{
-    proxy::respond(ex, proxy::make_response(status_ok, encode(result)));
-}
-
 } // namespace
 
 change_relay::change_relay(std::size_t max_waiting_watches)
@@ -91,6 +86,13 @@
     return result;
 }
 
+void change_relay::answer(proxy::exchange& ex, const std::string& body)
+{
+    ++total.watches;
+    total.bytes += body.size();
+    proxy::respond(ex, proxy::make_response(status_ok, body));
+}
+
 void change_relay::serve(const proxy::exchange_ptr& ex, time_point now)
 {
     try
@@ -121,7 +123,7 @@
     for (const auto& [key, it] : keys)
         if (key.starts_with(request.key))
             result.entries.push_back(it);
-    answer(*ex, result);
+    answer(*ex, encode(result));
 }
 
 void change_relay::serve_watch(const proxy::exchange_ptr& ex, time_point now)
@@ -136,7 +138,7 @@
     auto changes = changes_after(request.prefix, request.after);
     if (!changes.entries.empty() || request.wait_ms == 0)
     {
-        answer(*ex, changes);
+        answer(*ex, encode(changes));
         return;
     }
     if (is_full())
@@ -176,26 +178,26 @@
             it->second = encode(changes);
         return it->second;
     };
-    std::erase_if(
-        pending_watches,
-        [&](const pending_watch& it)
-        {
-            if (it.ex->cancelled)
-                return true;
-            if (it.after < oldest_revision)
-            {
-                proxy::respond(*it.ex,
-                               proxy::make_response(status_gone, "list again"));
-                return true;
-            }
-            const auto& body = encoded_changes(it.prefix, it.after);
-            if (body.empty())
-                return false;
-            ++relayed.watches;
-            relayed.bytes += body.size();
-            proxy::respond(*it.ex, proxy::make_response(status_ok, body));
-            return true;
-        });
+    std::erase_if(pending_watches,
+                  [&](const pending_watch& it)
+                  {
+                      if (it.ex->cancelled)
+                          return true;
+                      if (it.after < oldest_revision)
+                      {
+                          proxy::respond(
+                              *it.ex,
+                              proxy::make_response(status_gone, "list again"));
+                          return true;
+                      }
+                      const auto& body = encoded_changes(it.prefix, it.after);
+                      if (body.empty())
+                          return false;
+                      ++relayed.watches;
+                      relayed.bytes += body.size();
+                      answer(*it.ex, body);
+                      return true;
+                  });
     return relayed;
 }
 
@@ -208,7 +210,7 @@
                           return true;
                       if (now < it.deadline)
                           return false;
-                      answer(*it.ex, {{}, current_revision});
+                      answer(*it.ex, encode({{}, current_revision}));
                       return true;
                   });
 }
--- a/src/edge/change_relay.hpp
+++ b/src/edge/change_relay.hpp
@@ -17,10 +17,10 @@
 namespace parsleyplank::edge
 {
 
-// What a batch of changes was sent to.
+// Answers to peers.
 struct relayed_changes
 {
-    // Watches of peers that the batch has answered.
+    // Watches of peers that were answered.
     std::size_t watches = 0;
     // Bytes of these answers together, without their headers.
     std::size_t bytes = 0;
@@ -42,6 +42,13 @@
     // entry with key revision 0 is a removal.
     relayed_changes apply_changes(const store::list_result& changes);
 
+    // Returns all answers since the start, also those without changes. Their
+    // bytes are those of the bodies.
+    relayed_changes answered() const
+    {
+        return total;
+    }
+
     // Answers a list request at once, and a watch when a key under its prefix
     // has changed or its wait time has passed. Requests before the first
     // listing and watches beyond the maximum get status 503, malformed ones
@@ -68,7 +75,10 @@
     bool is_full();
     relayed_changes answer_pending_watches();
 
+    void answer(proxy::exchange& ex, const std::string& body);
+
     std::size_t max_watches;
+    relayed_changes total;
     std::map<std::string, store::entry> keys;
     revision current_revision;
     // The changes after this revision are retained.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <csignal>
+#include <functional>
 #include <iterator>
 #include <log4cplus/loggingmacros.h>
+#include <numeric>
 
 namespace parsleyplank::edge
 {
@@ -14,6 +16,7 @@
 {
 
 using udp = proxy::asio::ip::udp;
+using message = telemetry::peer_message;
 
 // Store keys that only instances use.
 constexpr std::string_view member_prefix = "steer/members/";
@@ -62,6 +65,15 @@
             {record.address, static_cast<std::uint16_t>(record.peer_port + 1)}};
 }
 
+// Returns the size of the keys and values together.
+std::size_t count_bytes(const store::list_result& listing)
+{
+    return std::transform_reduce(listing.entries.begin(), listing.entries.end(),
+                                 std::size_t(0), std::plus(),
+                                 [](const store::entry& it)
+                                 { return it.key.size() + it.value.size(); });
+}
+
 milliseconds fraction_of(milliseconds whole, double part)
 {
     return milliseconds(
@@ -265,7 +277,7 @@
         return;
     const auto bytes = pack_value(make_digest(last_report));
     std::ranges::for_each(watchers, [&](const peer_state* it)
-                          { send_to(it->record, bytes); });
+                          { send_to(it->record, bytes, message::notice); });
 }
 
 void control_plane::poll_revision()
@@ -317,6 +329,7 @@
 void control_plane::heartbeat()
 {
     note_control_run();
+    report_sent();
     heartbeat_timer.expires_after(options.heartbeat_interval);
     heartbeat_timer.async_wait(
         [this](const proxy::error_code& ec)
@@ -399,8 +412,8 @@
     for (const auto& [id, rollout] : rollouts)
         if (!present.contains(platform.layout.rollout_prefix + id.value))
             remove_order(rollouts, id);
-    LOG4CPLUS_INFO(log, "event=listed keys=" << all.entries.size()
-                                             << " revision="
+    LOG4CPLUS_INFO(log, "event=listed keys=" << all.entries.size() << " bytes="
+                                             << count_bytes(all) << " revision="
                                              << all.store_revision.value);
     schedule_removals();
     update_roster();
@@ -828,7 +841,7 @@
 {
     const auto bytes = pack_value(make_digest(report));
     for (const auto& [id, peer] : fleet.peers)
-        send_to(peer.record, bytes);
+        send_to(peer.record, bytes, message::digest);
     new_peers.clear();
 }
 
@@ -840,16 +853,31 @@
     const auto bytes = pack_value(make_digest(last_report));
     for (const auto& id : std::exchange(new_peers, {}))
         if (const auto it = fleet.peers.find(id); it != fleet.peers.end())
-            send_to(it->second.record, bytes);
+            send_to(it->second.record, bytes, message::greeting);
 }
 
-void control_plane::send_to(const member_record& peer, const std::string& bytes)
+void control_plane::send_to(const member_record& peer, const std::string& bytes,
+                            telemetry::peer_message kind)
 {
     proxy::error_code ec;
     const auto address = proxy::asio::ip::make_address(peer.address, ec);
     if (!ec)
         peer_socket.send_to(proxy::asio::buffer(bytes),
                             {address, peer.peer_port}, 0, ec);
+    counters.count_sent(kind, 1, bytes.size());
+}
+
+void control_plane::report_sent()
+{
+    const auto total = relay.answered();
+    counters.count_sent(message::relayed_changes,
+                        total.watches - reported_relayed.watches,
+                        total.bytes - reported_relayed.bytes);
+    reported_relayed = total;
+    if (now() - last_sent_log < options.sent_log_interval)
+        return;
+    last_sent_log = now();
+    LOG4CPLUS_INFO(log, "event=sent_to_peers " << counters.describe_sent());
 }
 
 milliseconds control_plane::current_digest_interval() const
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -65,6 +65,8 @@
     // Time for which the watch may lag behind a known revision before this
     // instance lists all keys again.
     milliseconds max_watch_lag{500};
+    // Interval of the log line on what was sent to peers.
+    milliseconds sent_log_interval{10'000};
     // Shortest time between two digests to the instances that watch the store.
     milliseconds notice_interval{200};
     // Fractions of the grace time after which a draining instance accepts no
@@ -164,7 +166,11 @@
     // Sends the last digest to the peers that were registered after it.
     void greet_new_peers();
     // A digest that can't be sent now is superseded by the next one.
-    void send_to(const member_record& peer, const std::string& bytes);
+    void send_to(const member_record& peer, const std::string& bytes,
+                 telemetry::peer_message kind);
+    // Counts the answers of the relay since the last call, and logs at an
+    // interval what was sent to peers.
+    void report_sent();
     void handle_datagram(std::size_t n);
 
     milliseconds current_digest_interval() const;
@@ -232,6 +238,9 @@
     change_relay relay;
     // Preferred peer to get the changes of the store from.
     std::optional<instance_id> preferred_relay;
+    // Answers of the relay that are counted in the metrics.
+    relayed_changes reported_relayed;
+    time_point last_sent_log{};
     // Whether the instances that watch the store for their regions are to be
     // told of changes, and when they last were.
     bool notice_due = false;
--- a/src/edge/token_exchange.cpp
+++ b/src/edge/token_exchange.cpp
@@ -114,6 +114,8 @@
     proxy::error_code ec;
     // A datagram that can't be sent is treated as lost.
     socket.send_to(proxy::asio::buffer(bytes), to, 0, ec);
+    if (handlers.count_sent)
+        handlers.count_sent(bytes.size());
 }
 
 void token_exchange::receive()
--- a/src/edge/token_exchange.hpp
+++ b/src/edge/token_exchange.hpp
@@ -78,6 +78,8 @@
     std::function<void(const token_count&)> add_own;
     std::function<void(const token_count&)> add_spare;
     std::function<void(const token_count&)> add_lent;
+    // Called with the size of each datagram that is sent, if set.
+    std::function<void(std::size_t bytes)> count_sent;
 };
 
 class token_exchange
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -241,8 +241,10 @@
             [this](const token_count& it)
             { add_spare(state.tokens, it.customer, it.count); },
             [this](const token_count& it)
+            { add_lent(state.tokens, it.customer, it.count); },
+            [this](std::size_t bytes)
             {
-                add_lent(state.tokens, it.customer, it.count);
+                counters.count_sent(telemetry::peer_message::tokens, 1, bytes);
             }};
 }
 
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -3,6 +3,8 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <sstream>
+#include <string_view>
 
 namespace parsleyplank::telemetry
 {
@@ -13,6 +15,11 @@
 const prometheus::Histogram::BucketBoundaries duration_buckets_s{
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
 
+// Names of peer_message, in its order.
+constexpr std::array<std::string_view, enum_size(peer_message())>
+    peer_message_names{"digest", "greeting", "notice", "tokens",
+                       "relayed_changes"};
+
 prometheus::Family<prometheus::Counter>&
 make_counters(prometheus::Registry& registry, const std::string& name,
               const std::string& help)
@@ -59,6 +66,36 @@
         [this](retry_reason reason) {
             retries.Add({{"reason", std::string(to_string(reason))}});
         });
+    auto& messages =
+        make_counters(registry, "parsleyplank_peer_messages_sent_total",
+                      "Messages sent to peers, by kind.");
+    auto& bytes = make_counters(registry, "parsleyplank_peer_bytes_sent_total",
+                                "Payload bytes sent to peers, by kind.");
+    std::ranges::transform(
+        peer_message_names, sent.begin(),
+        [&](std::string_view name)
+        {
+            const prometheus::Labels kind{{"kind", std::string(name)}};
+            return sent_counters{&messages.Add(kind), &bytes.Add(kind)};
+        });
+}
+
+void metrics::count_sent(peer_message kind, std::size_t messages,
+                         std::size_t bytes)
+{
+    const auto& it = sent[static_cast<std::size_t>(kind)];
+    it.messages->Increment(static_cast<double>(messages));
+    it.bytes->Increment(static_cast<double>(bytes));
+}
+
+std::string metrics::describe_sent() const
+{
+    std::ostringstream text;
+    for (std::size_t n = 0; n < sent.size(); ++n)
+        text << (n == 0 ? "" : " ") << peer_message_names[n] << '='
+             << static_cast<std::uint64_t>(sent[n].messages->Value()) << '/'
+             << static_cast<std::uint64_t>(sent[n].bytes->Value());
+    return text.str();
 }
 
 void metrics::count_refusal(refusal_reason reason)
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -12,6 +12,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <array>
 #include <chrono>
 #include <map>
 #include <string>
@@ -19,6 +20,26 @@
 namespace parsleyplank::telemetry
 {
 
+// Kinds of messages that an instance sends to its peers.
+enum class peer_message
+{
+    // The regular digest to all peers.
+    digest,
+    // A digest out of turn: to a peer that has just registered, or to the
+    // instances that watch the store.
+    greeting,
+    notice,
+    // Datagrams that move tokens of customers' rates.
+    tokens,
+    // Changes of the store, passed on over the tree of relays.
+    relayed_changes
+};
+
+constexpr int enum_size(peer_message /*kind*/)
+{
+    return static_cast<int>(peer_message::relayed_changes) + 1;
+}
+
 // Any thread may call.
 class metrics
 {
@@ -35,6 +56,13 @@
     // Counts a value of the platform's records that this version does not know.
     void count_unknown_value();
 
+    // Counts messages to peers of one kind, and their payload bytes.
+    void count_sent(peer_message kind, std::size_t messages, std::size_t bytes);
+
+    // Returns what was sent to peers since the start as "KIND=MESSAGES/BYTES"
+    // of each kind, for the log.
+    std::string describe_sent() const;
+
     // Counts a finished request of a route by outcome, with its duration.
     void count_request(const route_id& route, run_outcome outcome,
                        std::chrono::microseconds duration);
@@ -60,6 +88,13 @@
     prometheus::Counter& lookups;
     prometheus::Counter& callers_gone;
     prometheus::Counter& unknown_values;
+    // Messages and bytes of each peer_message.
+    struct sent_counters
+    {
+        prometheus::Counter* messages = nullptr;
+        prometheus::Counter* bytes = nullptr;
+    };
+    std::array<sent_counters, enum_size(peer_message())> sent;
 };
 
 } // namespace parsleyplank::telemetry
--- a/test/correctness/edge_change_relay.cpp
+++ b/test/correctness/edge_change_relay.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(a_watch_returns_missed_changes_and_removals);
     CPPUNIT_TEST(a_watch_from_before_a_listing_has_to_list_again);
     CPPUNIT_TEST(a_watch_beyond_the_maximum_is_refused);
+    CPPUNIT_TEST(all_answers_are_counted);
     CPPUNIT_TEST(damaged_requests_are_refused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -135,6 +136,20 @@
                              relayed.bytes);
     }
 
+    // Answers to peers that lag behind went uncounted, so that the bytes that a
+    // relay sends could not be told.
+    void all_answers_are_counted()
+    {
+        relay.apply_listing({{entry("a", 1)}, revision(5)});
+        const auto waiting = watch(5);
+        relay.apply_changes({{entry("a", 6)}, revision(6)});
+        const auto late = watch(5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), relay.answered().watches);
+        CPPUNIT_ASSERT_EQUAL(waiting->response->body().size() +
+                                 late->response->body().size(),
+                             relay.answered().bytes);
+    }
+
     void damaged_requests_are_refused()
     {
         relay.apply_listing({{}, revision(5)});
--- a/test/process/edge_metrics.sh
+++ b/test/process/edge_metrics.sh
@@ -39,6 +39,8 @@
 grep -qi '^retry-after: ' "$dir/head"
 ctl metrics 127.0.0.1:20914 |
   grep -q 'parsleyplank_refusals_total{reason="stale_state"} 1'
+curl -s http://127.0.0.1:20914/metrics > "$dir/metrics"
+grep -q 'parsleyplank_peer_bytes_sent_total{kind="digest"} 0' "$dir/metrics"
 kill -TERM "$pid"
 wait "$pid"
 grep -q 'event=start instance=edge-1' "$dir/log"
