Compress the changes that relays pass on to peers

Their bytes grow with the records of servers, which grow with the fleet, times the instances below a relay.

A peer that watches a relay now asks for gzip, and answers of 1 kB and more are compressed once for all peers that wait for the same changes. An older peer does not ask and gets the plain body; an older relay ignores the request header. The limit on a response counts what it expands to.

Tests: edge_change_relay (compressed for peers that accept it, plain for others), edge_endless_relay (a small body that expands to 200 MB leaves the memory bounded).

--- a/src/edge/change_relay.cpp
+++ b/src/edge/change_relay.cpp
@@ -1,4 +1,5 @@
 #include <parsleyplank/edge/change_relay.hpp>
+#include <parsleyplank/proxy/gzip.hpp>
 #include <parsleyplank/store/store_protocol.hpp>
 
 #include <algorithm>
@@ -16,6 +17,9 @@
 // behind.
 constexpr std::size_t max_retained_batches = 256;
 
+// Shorter answers fit into one packet, so that compressing them saves nothing.
+constexpr std::size_t min_compressed_bytes = 1'024;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
@@ -86,11 +90,25 @@
     return result;
 }
 
-void change_relay::answer(proxy::exchange& ex, const std::string& body)
+void change_relay::answer(proxy::exchange& ex, encoded_answer& body)
 {
+    const bool compress = body.plain.size() >= min_compressed_bytes &&
+                          proxy::accepts_gzip(ex.request);
+    if (compress && body.compressed.empty())
+        body.compressed = proxy::gzip(body.plain);
+    const auto& sent = compress ? body.compressed : body.plain;
     ++total.watches;
-    total.bytes += body.size();
-    proxy::respond(ex, proxy::make_response(status_ok, body));
+    total.bytes += sent.size();
+    auto response = proxy::make_response(status_ok, sent);
+    if (compress)
+        response.set(proxy::http::field::content_encoding, "gzip");
+    proxy::respond(ex, std::move(response));
+}
+
+void change_relay::answer(proxy::exchange& ex, const store::list_result& result)
+{
+    encoded_answer body{encode(result), {}};
+    answer(ex, body);
 }
 
 void change_relay::serve(const proxy::exchange_ptr& ex, time_point now)
@@ -123,7 +141,7 @@
     for (const auto& [key, it] : keys)
         if (key.starts_with(request.key))
             result.entries.push_back(it);
-    answer(*ex, encode(result));
+    answer(*ex, result);
 }
 
 void change_relay::serve_watch(const proxy::exchange_ptr& ex, time_point now)
@@ -138,7 +156,7 @@
     auto changes = changes_after(request.prefix, request.after);
     if (!changes.entries.empty() || request.wait_ms == 0)
     {
-        answer(*ex, encode(changes));
+        answer(*ex, changes);
         return;
     }
     if (is_full())
@@ -164,18 +182,18 @@
 
 relayed_changes change_relay::answer_pending_watches()
 {
-    relayed_changes relayed;
+    const auto before = total;
     // Most peers wait for the same changes. An empty text stands for none.
-    std::map<std::pair<std::string, revision>, std::string> encoded;
+    std::map<std::pair<std::string, revision>, encoded_answer> encoded;
     const auto encoded_changes = [&](const std::string& prefix,
-                                     revision after) -> const std::string&
+                                     revision after) -> encoded_answer&
     {
         const auto [it, added] = encoded.try_emplace({prefix, after});
         if (!added)
             return it->second;
         const auto changes = changes_after(prefix, after);
         if (!changes.entries.empty())
-            it->second = encode(changes);
+            it->second.plain = encode(changes);
         return it->second;
     };
     std::erase_if(pending_watches,
@@ -190,15 +208,13 @@
                               proxy::make_response(status_gone, "list again"));
                           return true;
                       }
-                      const auto& body = encoded_changes(it.prefix, it.after);
-                      if (body.empty())
+                      auto& body = encoded_changes(it.prefix, it.after);
+                      if (body.plain.empty())
                           return false;
-                      ++relayed.watches;
-                      relayed.bytes += body.size();
                       answer(*it.ex, body);
                       return true;
                   });
-    return relayed;
+    return {total.watches - before.watches, total.bytes - before.bytes};
 }
 
 void change_relay::expire_watches(time_point now)
@@ -210,7 +226,7 @@
                           return true;
                       if (now < it.deadline)
                           return false;
-                      answer(*it.ex, encode({{}, current_revision}));
+                      answer(*it.ex, store::list_result{{}, current_revision});
                       return true;
                   });
 }
--- a/src/edge/change_relay.hpp
+++ b/src/edge/change_relay.hpp
@@ -43,7 +43,7 @@
     relayed_changes apply_changes(const store::list_result& changes);
 
     // Returns all answers since the start, also those without changes. Their
-    // bytes are those of the bodies.
+    // bytes are those of the bodies as sent.
     relayed_changes answered() const
     {
         return total;
@@ -75,7 +75,15 @@
     bool is_full();
     relayed_changes answer_pending_watches();
 
-    void answer(proxy::exchange& ex, const std::string& body);
+    // The body of an answer. Compressed when the first peer asks for that.
+    struct encoded_answer
+    {
+        std::string plain;
+        std::string compressed;
+    };
+
+    void answer(proxy::exchange& ex, encoded_answer& body);
+    void answer(proxy::exchange& ex, const store::list_result& result);
 
     std::size_t max_watches;
     relayed_changes total;
--- a/src/edge/store_feed.cpp
+++ b/src/edge/store_feed.cpp
@@ -142,6 +142,7 @@
     settings.port = where.port;
     settings.silence_timeout = options.peer_silence_timeout;
     settings.max_response_bytes = options.max_response_bytes;
+    settings.accept_compressed = true;
     return std::make_unique<store::http_kv_store>(settings);
 }
 
--- a/src/store/http_call.cpp
+++ b/src/store/http_call.cpp
@@ -141,6 +141,8 @@
     set(CURLOPT_HEADERFUNCTION, &count_header);
     set(CURLOPT_HEADERDATA, static_cast<void*>(&response));
     set(CURLOPT_ERRORBUFFER, message.data());
+    if (settings.accept_compressed)
+        set(CURLOPT_ACCEPT_ENCODING, "gzip");
     add_header(("Content-Type: " + settings.content_type).c_str());
     if (settings.silence_timeout > milliseconds(0))
     {
--- a/src/store/http_call.hpp
+++ b/src/store/http_call.hpp
@@ -26,6 +26,9 @@
     // A larger response is an error. Bounds memory against a faulty platform.
     std::size_t max_response_bytes = 64'000'000;
     std::string content_type = "application/octet-stream";
+    // Whether responses may be compressed (gzip). max_response_bytes limits
+    // what they expand to.
+    bool accept_compressed = false;
     // Time without any sign of the platform after which a connection counts as
     // broken, found by keep-alive probes; 0 sends none. A call that waits long
     // would not notice otherwise.
--- a/test/correctness/edge_change_relay.cpp
+++ b/test/correctness/edge_change_relay.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(a_watch_from_before_a_listing_has_to_list_again);
     CPPUNIT_TEST(a_watch_beyond_the_maximum_is_refused);
     CPPUNIT_TEST(all_answers_are_counted);
+    CPPUNIT_TEST(a_large_answer_is_compressed_for_peers_that_accept_it);
     CPPUNIT_TEST(damaged_requests_are_refused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -36,19 +37,25 @@
         return {key, at == 0 ? "" : "v" + std::to_string(at), revision(at)};
     }
 
-    proxy::exchange_ptr send(const std::string& path, const std::string& body)
+    proxy::exchange_ptr send(const std::string& path, const std::string& body,
+                             const std::string& encoding = "")
     {
         auto ex = std::make_shared<proxy::exchange>();
+        if (!encoding.empty())
+            ex->request.set("Accept-Encoding", encoding);
         ex->request.target(path);
         ex->request.body() = body;
         relay.serve(ex, start);
         return ex;
     }
 
-    proxy::exchange_ptr watch(std::uint64_t after)
+    proxy::exchange_ptr watch(std::uint64_t after,
+                              const std::string& encoding = "")
     {
-        return send(protocol::watch_path, pack_value(protocol::watch_request{
-                                              "", revision(after), 5'000}));
+        return send(
+            protocol::watch_path,
+            pack_value(protocol::watch_request{"", revision(after), 5'000}),
+            encoding);
     }
 
     static protocol::entries_response body_of(const proxy::exchange& ex)
@@ -150,6 +157,23 @@
                              relay.answered().bytes);
     }
 
+    // Uncompressed records of servers were most of what relays of a fleet of
+    // 300 instances sent. A peer of an older version does not ask for
+    // compression.
+    void a_large_answer_is_compressed_for_peers_that_accept_it()
+    {
+        const std::string record(5'000, 'r');
+        relay.apply_listing({{entry("a", 1)}, revision(5)});
+        const auto older = watch(5);
+        const auto newer = watch(5, "gzip");
+        relay.apply_changes({{{"a", record, revision(6)}}, revision(6)});
+        CPPUNIT_ASSERT_EQUAL(record, body_of(*older).entries.front().value);
+        CPPUNIT_ASSERT_EQUAL(std::string("gzip"),
+                             std::string(proxy::header_value(
+                                 *newer->response, "Content-Encoding")));
+        CPPUNIT_ASSERT(newer->response->body().size() < record.size() / 10);
+    }
+
     void damaged_requests_are_refused()
     {
         relay.apply_listing({{}, revision(5)});
--- a/test/failure/edge_endless_relay.cpp
+++ b/test/failure/edge_endless_relay.cpp
@@ -3,6 +3,7 @@
 
 #include <parsleyplank/edge/settings.hpp>
 #include <parsleyplank/edge/store_feed.hpp>
+#include <parsleyplank/proxy/gzip.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <support/endless_server.hpp>
@@ -24,6 +25,7 @@
     CPPUNIT_TEST_SUITE(edge_endless_relay);
     CPPUNIT_TEST(a_body_without_length);
     CPPUNIT_TEST(a_body_of_great_length);
+    CPPUNIT_TEST(a_compressed_body_that_expands);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::int64_t memory_mb = 80;
@@ -76,6 +78,19 @@
         assert_bounded({"HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n",
                         std::string(65'536, 'x')});
     }
+
+    // A small response expanded to more than the memory of the instance.
+    void a_compressed_body_that_expands()
+    {
+        std::string content;
+        content.resize(200'000'000, 'x');
+        const auto body = proxy::gzip(content);
+        CPPUNIT_ASSERT(body.size() < 2'000'000);
+        assert_bounded({"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"
+                        "Content-Length: " +
+                            std::to_string(body.size()) + "\r\n\r\n",
+                        body});
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(edge_endless_relay);
