Let the first watch of the store in edge_endless_relay end soon

a_body_without_length failed once: the feed had begun its first watch of the store, which waits 25 s, before the test selected the peer, and the test waits 20 s for the peer to fail. A pause of 200 ms before the selection makes all three cases fail. The first watch now waits 1 s, as the later ones do; what is checked is unchanged.

--- a/test/failure/edge_endless_relay.cpp
+++ b/test/failure/edge_endless_relay.cpp
@@ -36,6 +36,8 @@
         config.memory_mb = memory_mb;
         feed_options options;
         options.max_response_bytes = max_store_response_bytes(config);
+        // The feed may watch the store before the peer is selected.
+        options.watch_wait = milliseconds(1'000);
         const endless_server peer(response);
         const auto data = std::make_shared<memory_store_data>();
         write_key(*data, "k/1", "first");
