Do not pass on reports of servers that say nothing new

Nearly all of them were reports of the warm-up: the end of the warm-up is computed from the time that is left, so each report differed by some milliseconds and was logged, published to the traffic thread and relayed as a change.

- put_server ignores a new sequence number alone and a warm-up that ends within 250 ms of what is known.
- A relay keeps such entries for listings, but passes only the revision on, every 250 ms, so that its peers do not take themselves to be behind.
- The lag of the watch is the time for which one certain revision is missing (edge/revision_lag).
In a stream of changes the newest revision is never reached, and an instance took each stream for missed changes.

A peer of an older version below a new relay gets fewer entries and the same revisions; a new one below an old relay gets all.

--- a/src/edge/change_relay.cpp
+++ b/src/edge/change_relay.cpp
@@ -58,17 +58,23 @@
     answer_pending_watches();
 }
 
-relayed_changes change_relay::apply_changes(const store::list_result& changes)
+relayed_changes
+change_relay::apply_changes(const store::list_result& changes,
+                            const std::set<std::string>& repeated)
 {
     current_revision = changes.store_revision;
-    if (changes.entries.empty())
-        return {};
     for (const auto& it : changes.entries)
         if (it.key_revision == revision(0))
             keys.erase(it.key);
         else
             keys[it.key] = it;
-    recent_batches.push_back(changes);
+    store::list_result news{{}, changes.store_revision};
+    std::ranges::copy_if(changes.entries, std::back_inserter(news.entries),
+                         [&](const store::entry& it)
+                         { return !repeated.contains(it.key); });
+    if (news.entries.empty())
+        return {};
+    recent_batches.push_back(std::move(news));
     if (recent_batches.size() > max_retained_batches)
     {
         oldest_revision = recent_batches.front().store_revision;
@@ -217,6 +223,18 @@
     return {total.watches - before.watches, total.bytes - before.bytes};
 }
 
+void change_relay::pass_revision_on()
+{
+    std::erase_if(pending_watches,
+                  [&](const pending_watch& it)
+                  {
+                      if (it.ex->cancelled || it.after >= current_revision)
+                          return it.ex->cancelled;
+                      answer(*it.ex, store::list_result{{}, current_revision});
+                      return true;
+                  });
+}
+
 void change_relay::expire_watches(time_point now)
 {
     std::erase_if(pending_watches,
--- a/src/edge/change_relay.hpp
+++ b/src/edge/change_relay.hpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 
 namespace parsleyplank::edge
@@ -39,8 +40,14 @@
     void apply_listing(const store::list_result& all);
 
     // Applies a batch of changes and answers the watches that it concerns. An
-    // entry with key revision 0 is a removal.
-    relayed_changes apply_changes(const store::list_result& changes);
+    // entry with key revision 0 is a removal. The entries of the repeated keys
+    // say what was said before: they are kept, but not passed on.
+    relayed_changes apply_changes(const store::list_result& changes,
+                                  const std::set<std::string>& repeated = {});
+
+    // Answers watches from an earlier revision than the present one, of which
+    // no change was passed on: the peer would take itself to be behind.
+    void pass_revision_on();
 
     // Returns all answers since the start, also those without changes. Their
     // bytes are those of the bodies as sent.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -200,15 +200,13 @@
 void control_plane::note_revision(revision seen)
 {
     newest_revision = std::max(newest_revision, seen);
-    if (applied_revision >= newest_revision || applied_revision == revision(0))
-        behind_since.reset();
-    else if (!behind_since)
-        behind_since = now();
-    else if (now() - *behind_since >= options.max_watch_lag)
-        catch_up();
+    const auto missing =
+        observe_lag(lag, applied_revision, newest_revision, now());
+    if (missing >= options.max_watch_lag)
+        catch_up(missing);
 }
 
-void control_plane::catch_up()
+void control_plane::catch_up(milliseconds missing)
 {
     const auto it =
         peer_ahead ? fleet.peers.find(*peer_ahead) : fleet.peers.end();
@@ -219,7 +217,7 @@
     // data than a listing has.
     const auto patience =
         is_store_watcher ? milliseconds(0) : options.feed.peer_watch_wait;
-    if (now() - *behind_since >= options.max_watch_lag + patience &&
+    if (missing >= options.max_watch_lag + patience &&
         now() - last_relist >= options.revision_poll_interval)
         relist();
 }
@@ -428,20 +426,14 @@
         return;
     applied_revision = changes.store_revision;
     note_revision(applied_revision);
-    const auto relayed = relay.apply_changes(changes);
-    if (!changes.entries.empty())
-        LOG4CPLUS_INFO(log, "event=changes_received source="
-                                << source
-                                << " revision=" << changes.store_revision.value
-                                << " entries=" << changes.entries.size()
-                                << " relayed_to=" << relayed.watches
-                                << " relayed_bytes=" << relayed.bytes);
     const auto is_removed_server = [&](const store::entry& it)
     {
         return it.key_revision == revision(0) &&
                it.key.starts_with(platform.layout.server_prefix);
     };
     const auto when = removal_time();
+    std::set<std::string> changed;
+    std::set<std::string> repeated;
     for (const auto& it : changes.entries)
     {
         if (is_removed_server(it))
@@ -454,10 +446,18 @@
         }
         else if (it.key_revision == revision(0))
             apply_removal(it.key);
-        else
-            apply_entry(it);
+        else if (apply_entry(it))
+        {
+            repeated.insert(it.key);
+            continue;
+        }
+        changed.insert(it.key);
     }
-    if (changes.entries.empty())
+    // A batch may hold several changes of a key.
+    std::erase_if(repeated, [&](const std::string& key)
+                  { return changed.contains(key); });
+    pass_on(changes, source, repeated);
+    if (changed.empty())
         return;
     if (source == "store")
     {
@@ -468,6 +468,25 @@
     publish();
 }
 
+void control_plane::pass_on(const store::list_result& changes,
+                            const std::string& source,
+                            const std::set<std::string>& repeated)
+{
+    const auto relayed = relay.apply_changes(changes, repeated);
+    if (changes.entries.size() > repeated.size())
+        LOG4CPLUS_INFO(log, "event=changes_received source="
+                                << source
+                                << " revision=" << changes.store_revision.value
+                                << " entries=" << changes.entries.size()
+                                << " repeated=" << repeated.size()
+                                << " relayed_to=" << relayed.watches
+                                << " relayed_bytes=" << relayed.bytes);
+    if (now() - last_revision_passed < options.revision_answer_interval)
+        return;
+    last_revision_passed = now();
+    relay.pass_revision_on();
+}
+
 // Schedules the next delayed removal of a server.
 void control_plane::schedule_removals()
 {
@@ -494,7 +513,7 @@
     LOG4CPLUS_WARN(log, "event=unknown_value detail=\"" << detail << '"');
 }
 
-void control_plane::apply_entry(const store::entry& it)
+bool control_plane::apply_entry(const store::entry& it)
 {
     const auto& layout = platform.layout;
     try
@@ -502,7 +521,7 @@
         if (it.key == layout.configuration_key)
             apply_configuration(it);
         else if (it.key.starts_with(layout.server_prefix))
-            apply_server(it);
+            return apply_server(it);
         else if (it.key.starts_with(layout.rollout_prefix))
         {
             const auto order =
@@ -548,6 +567,7 @@
             steering::remove_server(servers, backend_server_id(*id), now(),
                                     now());
     }
+    return false;
 }
 
 void control_plane::apply_member(const member_record& record)
@@ -603,17 +623,21 @@
         note_unknown_value(it);
 }
 
-void control_plane::apply_server(const store::entry& it)
+bool control_plane::apply_server(const store::entry& it)
 {
     const backend_server_id id(
         it.key.substr(platform.layout.server_prefix.size()));
     auto server = platform.decode_server(id, it.value, config.regions, now());
     const bool draining = server.draining;
     const bool cold = server.cold_until > now();
-    if (steering::put_server(servers, std::move(server)))
-        LOG4CPLUS_INFO(log, "event=server_changed server="
-                                << id.value << " draining=" << draining
-                                << " cold=" << cold);
+    // Peers must learn that a delayed removal is cancelled.
+    const bool was_removed = servers.pending_removals.contains(id);
+    if (!steering::put_server(servers, std::move(server), now()))
+        return !was_removed;
+    LOG4CPLUS_INFO(log, "event=server_changed server="
+                            << id.value << " draining=" << draining
+                            << " cold=" << cold);
+    return false;
 }
 
 void control_plane::renew_registration()
@@ -922,6 +946,7 @@
     remove_expired_peers(fleet, options.fleet, now());
     update_roster();
     relay.expire_watches(now());
+    relay.pass_revision_on();
     const auto live = live_peers(fleet, options.fleet, now());
     update_watch_source(live);
     notify_store_watchers();
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -9,6 +9,7 @@
 #include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/edge/rate_roster.hpp>
 #include <parsleyplank/edge/relay_tree.hpp>
+#include <parsleyplank/edge/revision_lag.hpp>
 #include <parsleyplank/edge/rollout_control.hpp>
 #include <parsleyplank/edge/state_confirmation.hpp>
 #include <parsleyplank/edge/store_feed.hpp>
@@ -67,6 +68,10 @@
     milliseconds max_watch_lag{500};
     // Interval of the log line on what was sent to peers.
     milliseconds sent_log_interval{10'000};
+    // Shortest time between two answers to peers of the relay that tell only
+    // of a newer revision. Three levels of the tree take less than the lag
+    // after which a peer lists all keys.
+    milliseconds revision_answer_interval{250};
     // Shortest time between two digests to the instances that watch the store.
     milliseconds notice_interval{200};
     // Fractions of the grace time after which a draining instance accepts no
@@ -107,10 +112,15 @@
     // The source is "store" or the address of a relay peer.
     void apply_changes(const store::list_result& changes,
                        const std::string& source);
-    void apply_entry(const store::entry& it);
+    // Lets the relay pass changes on to peers, except for the repeated keys.
+    void pass_on(const store::list_result& changes, const std::string& source,
+                 const std::set<std::string>& repeated);
+    // Returns whether the entry repeats what is known.
+    bool apply_entry(const store::entry& it);
     void apply_removal(const std::string& key);
     void apply_configuration(const store::entry& it);
-    void apply_server(const store::entry& it);
+    // Returns whether the report says what is known of the server.
+    bool apply_server(const store::entry& it);
     void apply_member(const member_record& record);
     // Logs and counts a value of the store that this version does not know.
     void note_unknown_value(const std::string& detail);
@@ -125,7 +135,7 @@
     void poll_revision();
     // Asks the peer that is ahead for the changes, and lists all keys again if
     // that does not help.
-    void catch_up();
+    void catch_up(milliseconds missing);
     // Tells the instances that watch the store for their regions of changes
     // that this instance has got from the store.
     void notify_store_watchers();
@@ -258,10 +268,13 @@
     bool store_outage = false;
     // Revision up to which all changes have been applied.
     revision applied_revision;
-    // Highest known revision of the store, and the time since when this
-    // instance lags behind it.
+    // Highest known revision of the store, and how far behind it this instance
+    // is.
     revision newest_revision;
-    std::optional<time_point> behind_since;
+    revision_lag lag;
+    // Time at which peers below this relay were last told of a revision
+    // without changes for them.
+    time_point last_revision_passed{};
     time_point last_revision_poll{};
     time_point last_relist{};
     // Accessed only on the worker's thread.
--- a/src/steering/server_registry.cpp
+++ b/src/steering/server_registry.cpp
@@ -15,17 +15,52 @@
             server.sequence < known.sequence);
 }
 
+// Each report of a cold server tells the rest of its warm-up, from which the
+// end is computed at the time of receipt.
+constexpr milliseconds max_report_delay{250};
+
+bool same_warmup(const backend_server& server, const backend_server& known,
+                 time_point now)
+{
+    const auto over = [now](const backend_server& it)
+    {
+        return it.cold_until <= now;
+    };
+    return (over(server) && over(known)) ||
+           std::chrono::abs(server.cold_until - known.cold_until) <=
+               max_report_delay;
+}
+
+// Returns whether the two reports differ only in their sequence number and
+// negligibly in the end of the warm-up.
+bool says_the_same(backend_server server, const backend_server& known,
+                   time_point now)
+{
+    if (!same_warmup(server, known, now))
+        return false;
+    server.cold_until = known.cold_until;
+    server.sequence = known.sequence;
+    return server == known;
+}
+
 } // namespace
 
-bool put_server(server_registry& registry, backend_server server)
+bool put_server(server_registry& registry, backend_server server,
+                time_point now)
 {
     const auto id = server.id;
     const auto known = registry.servers.find(id);
     if (known != registry.servers.end() && is_outdated(server, *known->second))
         return false;
     registry.pending_removals.erase(id);
-    if (known != registry.servers.end() && *known->second == server)
+    if (known != registry.servers.end() &&
+        says_the_same(server, *known->second, now))
+    {
+        server.cold_until = known->second->cold_until;
+        known->second =
+            std::make_shared<const backend_server>(std::move(server));
         return false;
+    }
     registry.servers[id] =
         std::make_shared<const backend_server>(std::move(server));
     return true;
--- a/src/steering/server_registry.hpp
+++ b/src/steering/server_registry.hpp
@@ -60,8 +60,12 @@
 
 // Adds or replaces a server and cancels its delayed removal. Ignores a record
 // of an earlier process of the same id and an earlier report of the same
-// process. Returns whether anything changed.
-bool put_server(server_registry& registry, backend_server server);
+// process. Returns whether anything changed that decisions depend on: a new
+// sequence number alone is no such change, nor is an end of the warm-up that
+// differs by less than the time that a report may take, or that has passed at
+// both times.
+bool put_server(server_registry& registry, backend_server server,
+                time_point now = {});
 
 // Removes a server at the effective time, or at once if that has passed.
 // Returns whether the server was removed at once.
--- a/test/correctness/edge_change_relay.cpp
+++ b/test/correctness/edge_change_relay.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(a_watch_beyond_the_maximum_is_refused);
     CPPUNIT_TEST(all_answers_are_counted);
     CPPUNIT_TEST(a_large_answer_is_compressed_for_peers_that_accept_it);
+    CPPUNIT_TEST(repeated_entries_are_kept_but_not_passed_on);
     CPPUNIT_TEST(damaged_requests_are_refused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -174,6 +175,29 @@
         CPPUNIT_ASSERT(newer->response->body().size() < record.size() / 10);
     }
 
+    // Each cold server reports the rest of its warm-up every 1.5 s. Passed on
+    // to all peers, these reports were most of the changes of a large fleet.
+    void repeated_entries_are_kept_but_not_passed_on()
+    {
+        relay.apply_listing({{entry("a", 1)}, revision(5)});
+        const auto waiting = watch(5);
+        relay.apply_changes({{entry("a", 6)}, revision(6)}, {"a"});
+        CPPUNIT_ASSERT(!waiting->response);
+        // Otherwise the peer would take itself to be behind.
+        relay.pass_revision_on();
+        CPPUNIT_ASSERT(body_of(*waiting).entries.empty());
+        CPPUNIT_ASSERT(body_of(*waiting).store_revision == revision(6));
+        const auto later = watch(6);
+        relay.pass_revision_on();
+        CPPUNIT_ASSERT(!later->response);
+        relay.apply_changes({{entry("a", 7), entry("b", 8)}, revision(8)},
+                            {"a"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), body_of(*later).entries.size());
+        const auto all = body_of(
+            *send(protocol::list_path, pack_value(protocol::read_request{""})));
+        CPPUNIT_ASSERT_EQUAL(std::string("v7"), all.entries.front().value);
+    }
+
     void damaged_requests_are_refused()
     {
         relay.apply_listing({{}, revision(5)});
--- a/test/correctness/edge_fleet.cpp
+++ b/test/correctness/edge_fleet.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(callers_are_sent_to_the_nearest_instances);
     CPPUNIT_TEST(server_removals_in_an_outage_are_delayed);
     CPPUNIT_TEST(an_old_report_does_not_replace_a_newer_one);
+    CPPUNIT_TEST(a_report_of_the_same_warm_up_changes_nothing);
     CPPUNIT_TEST(the_longest_path_prefix_of_the_host_is_chosen);
     CPPUNIT_TEST(a_configuration_with_a_shared_key_is_rejected);
     CPPUNIT_TEST_SUITE_END();
@@ -318,6 +319,38 @@
         CPPUNIT_ASSERT(put_server(registry, it));
     }
 
+    // Each report of a cold server was logged, published and passed on as a
+    // change, because the end of its warm-up differed by some milliseconds.
+    void a_report_of_the_same_warm_up_changes_nothing()
+    {
+        using namespace parsleyplank::steering;
+        server_registry registry;
+        backend_server it;
+        it.id = backend_server_id("s");
+        it.started_ms = 100;
+        const auto report = [&](int sequence, int at_ms, int left_ms)
+        {
+            const auto now = start + milliseconds(at_ms);
+            it.sequence = sequence;
+            it.cold_until =
+                left_ms > 0 ? now + milliseconds(left_ms) : time_point{};
+            return put_server(registry, it, now);
+        };
+        CPPUNIT_ASSERT(report(1, 0, 3'000));
+        CPPUNIT_ASSERT(!report(2, 1'540, 1'500));
+        CPPUNIT_ASSERT(registry.servers.at(it.id)->cold_until ==
+                       start + milliseconds(3'000));
+        CPPUNIT_ASSERT(!report(3, 3'050, 0));
+        // An old report is still recognized.
+        it.draining = true;
+        CPPUNIT_ASSERT(!report(2, 3'100, 0));
+        CPPUNIT_ASSERT(report(4, 3'100, 0));
+        it.draining = false;
+        // A warm-up that takes longer than was said is a change.
+        CPPUNIT_ASSERT(report(5, 3'200, 2'000));
+        CPPUNIT_ASSERT(report(6, 3'600, 2'000));
+    }
+
     static std::shared_ptr<steering::traffic_config> two_routes()
     {
         auto config = std::make_shared<steering::traffic_config>();
