Merge the cut of bytes that relays send

Listings of a restored store do not bring back servers that have departed; before, this went by their sequence numbers, which relays no longer pass on.

--- a/src/edge/change_relay.cpp
+++ b/src/edge/change_relay.cpp
@@ -1,4 +1,5 @@
 #include <parsleyplank/edge/change_relay.hpp>
+#include <parsleyplank/proxy/gzip.hpp>
 #include <parsleyplank/store/store_protocol.hpp>
 
 #include <algorithm>
@@ -16,6 +17,9 @@
 // behind.
 constexpr std::size_t max_retained_batches = 256;
 
+// Shorter answers fit into one packet, so that compressing them saves nothing.
+constexpr std::size_t min_compressed_bytes = 1'024;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
@@ -34,11 +38,6 @@
     return pack_value(body);
 }
 
-void answer(proxy::exchange& ex, const store::list_result& result)
-{
-    proxy::respond(ex, proxy::make_response(status_ok, encode(result)));
-}
-
 } // namespace
 
 change_relay::change_relay(std::size_t max_waiting_watches)
@@ -59,17 +58,23 @@
     answer_pending_watches();
 }
 
-relayed_changes change_relay::apply_changes(const store::list_result& changes)
+relayed_changes
+change_relay::apply_changes(const store::list_result& changes,
+                            const std::set<std::string>& repeated)
 {
     current_revision = changes.store_revision;
-    if (changes.entries.empty())
-        return {};
     for (const auto& it : changes.entries)
         if (it.key_revision == revision(0))
             keys.erase(it.key);
         else
             keys[it.key] = it;
-    recent_batches.push_back(changes);
+    store::list_result news{{}, changes.store_revision};
+    std::ranges::copy_if(changes.entries, std::back_inserter(news.entries),
+                         [&](const store::entry& it)
+                         { return !repeated.contains(it.key); });
+    if (news.entries.empty())
+        return {};
+    recent_batches.push_back(std::move(news));
     if (recent_batches.size() > max_retained_batches)
     {
         oldest_revision = recent_batches.front().store_revision;
@@ -91,6 +96,27 @@
     return result;
 }
 
+void change_relay::answer(proxy::exchange& ex, encoded_answer& body)
+{
+    const bool compress = body.plain.size() >= min_compressed_bytes &&
+                          proxy::accepts_gzip(ex.request);
+    if (compress && body.compressed.empty())
+        body.compressed = proxy::gzip(body.plain);
+    const auto& sent = compress ? body.compressed : body.plain;
+    ++total.watches;
+    total.bytes += sent.size();
+    auto response = proxy::make_response(status_ok, sent);
+    if (compress)
+        response.set(proxy::http::field::content_encoding, "gzip");
+    proxy::respond(ex, std::move(response));
+}
+
+void change_relay::answer(proxy::exchange& ex, const store::list_result& result)
+{
+    encoded_answer body{encode(result), {}};
+    answer(ex, body);
+}
+
 void change_relay::serve(const proxy::exchange_ptr& ex, time_point now)
 {
     try
@@ -162,41 +188,51 @@
 
 relayed_changes change_relay::answer_pending_watches()
 {
-    relayed_changes relayed;
+    const auto before = total;
     // Most peers wait for the same changes. An empty text stands for none.
-    std::map<std::pair<std::string, revision>, std::string> encoded;
+    std::map<std::pair<std::string, revision>, encoded_answer> encoded;
     const auto encoded_changes = [&](const std::string& prefix,
-                                     revision after) -> const std::string&
+                                     revision after) -> encoded_answer&
     {
         const auto [it, added] = encoded.try_emplace({prefix, after});
         if (!added)
             return it->second;
         const auto changes = changes_after(prefix, after);
         if (!changes.entries.empty())
-            it->second = encode(changes);
+            it->second.plain = encode(changes);
         return it->second;
     };
-    std::erase_if(
-        pending_watches,
-        [&](const pending_watch& it)
-        {
-            if (it.ex->cancelled)
-                return true;
-            if (it.after < oldest_revision)
-            {
-                proxy::respond(*it.ex,
-                               proxy::make_response(status_gone, "list again"));
-                return true;
-            }
-            const auto& body = encoded_changes(it.prefix, it.after);
-            if (body.empty())
-                return false;
-            ++relayed.watches;
-            relayed.bytes += body.size();
-            proxy::respond(*it.ex, proxy::make_response(status_ok, body));
-            return true;
-        });
-    return relayed;
+    std::erase_if(pending_watches,
+                  [&](const pending_watch& it)
+                  {
+                      if (it.ex->cancelled)
+                          return true;
+                      if (it.after < oldest_revision)
+                      {
+                          proxy::respond(
+                              *it.ex,
+                              proxy::make_response(status_gone, "list again"));
+                          return true;
+                      }
+                      auto& body = encoded_changes(it.prefix, it.after);
+                      if (body.plain.empty())
+                          return false;
+                      answer(*it.ex, body);
+                      return true;
+                  });
+    return {total.watches - before.watches, total.bytes - before.bytes};
+}
+
+void change_relay::pass_revision_on()
+{
+    std::erase_if(pending_watches,
+                  [&](const pending_watch& it)
+                  {
+                      if (it.ex->cancelled || it.after >= current_revision)
+                          return it.ex->cancelled;
+                      answer(*it.ex, store::list_result{{}, current_revision});
+                      return true;
+                  });
 }
 
 void change_relay::expire_watches(time_point now)
@@ -208,7 +244,7 @@
                           return true;
                       if (now < it.deadline)
                           return false;
-                      answer(*it.ex, {{}, current_revision});
+                      answer(*it.ex, store::list_result{{}, current_revision});
                       return true;
                   });
 }
--- a/src/edge/change_relay.hpp
+++ b/src/edge/change_relay.hpp
@@ -12,15 +12,16 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <set>
 #include <string>
 
 namespace parsleyplank::edge
 {
 
-// What a batch of changes was sent to.
+// Answers to peers.
 struct relayed_changes
 {
-    // Watches of peers that the batch has answered.
+    // Watches of peers that were answered.
     std::size_t watches = 0;
     // Bytes of these answers together, without their headers.
     std::size_t bytes = 0;
@@ -39,8 +40,21 @@
     void apply_listing(const store::list_result& all);
 
     // Applies a batch of changes and answers the watches that it concerns. An
-    // entry with key revision 0 is a removal.
-    relayed_changes apply_changes(const store::list_result& changes);
+    // entry with key revision 0 is a removal. The entries of the repeated keys
+    // say what was said before: they are kept, but not passed on.
+    relayed_changes apply_changes(const store::list_result& changes,
+                                  const std::set<std::string>& repeated = {});
+
+    // Answers watches from an earlier revision than the present one, of which
+    // no change was passed on: the peer would take itself to be behind.
+    void pass_revision_on();
+
+    // Returns all answers since the start, also those without changes. Their
+    // bytes are those of the bodies as sent.
+    relayed_changes answered() const
+    {
+        return total;
+    }
 
     // Answers a list request at once, and a watch when a key under its prefix
     // has changed or its wait time has passed. Requests before the first
@@ -68,7 +82,18 @@
     bool is_full();
     relayed_changes answer_pending_watches();
 
+    // The body of an answer. Compressed when the first peer asks for that.
+    struct encoded_answer
+    {
+        std::string plain;
+        std::string compressed;
+    };
+
+    void answer(proxy::exchange& ex, encoded_answer& body);
+    void answer(proxy::exchange& ex, const store::list_result& result);
+
     std::size_t max_watches;
+    relayed_changes total;
     std::map<std::string, store::entry> keys;
     revision current_revision;
     // The changes after this revision are retained.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -6,8 +6,10 @@
 
 #include <algorithm>
 #include <csignal>
+#include <functional>
 #include <iterator>
 #include <log4cplus/loggingmacros.h>
+#include <numeric>
 
 namespace parsleyplank::edge
 {
@@ -16,6 +18,7 @@
 {
 
 using udp = proxy::asio::ip::udp;
+using message = telemetry::peer_message;
 
 // Store keys that only instances use.
 constexpr std::string_view member_prefix = "steer/members/";
@@ -64,6 +67,15 @@
             {record.address, static_cast<std::uint16_t>(record.peer_port + 1)}};
 }
 
+// Returns the size of the keys and values together.
+std::size_t count_bytes(const store::list_result& listing)
+{
+    return std::transform_reduce(listing.entries.begin(), listing.entries.end(),
+                                 std::size_t(0), std::plus(),
+                                 [](const store::entry& it)
+                                 { return it.key.size() + it.value.size(); });
+}
+
 milliseconds fraction_of(milliseconds whole, double part)
 {
     return milliseconds(
@@ -213,15 +225,13 @@
 void control_plane::note_revision(revision seen)
 {
     newest_revision = std::max(newest_revision, seen);
-    if (applied_revision >= newest_revision || applied_revision == revision(0))
-        behind_since.reset();
-    else if (!behind_since)
-        behind_since = now();
-    else if (now() - *behind_since >= options.max_watch_lag)
-        catch_up();
+    const auto missing =
+        observe_lag(lag, applied_revision, newest_revision, now());
+    if (missing >= options.max_watch_lag)
+        catch_up(missing);
 }
 
-void control_plane::catch_up()
+void control_plane::catch_up(milliseconds missing)
 {
     const auto it =
         peer_ahead ? fleet.peers.find(*peer_ahead) : fleet.peers.end();
@@ -232,7 +242,7 @@
     // data than a listing has.
     const auto patience =
         is_store_watcher ? milliseconds(0) : options.feed.peer_watch_wait;
-    if (now() - *behind_since >= options.max_watch_lag + patience &&
+    if (missing >= options.max_watch_lag + patience &&
         now() - last_relist >= options.revision_poll_interval)
         relist();
 }
@@ -290,7 +300,7 @@
         return;
     const auto bytes = pack_value(make_digest(last_report));
     std::ranges::for_each(watchers, [&](const peer_state* it)
-                          { send_to(it->record, bytes); });
+                          { send_to(it->record, bytes, message::notice); });
 }
 
 void control_plane::poll_revision()
@@ -342,6 +352,7 @@
 void control_plane::heartbeat()
 {
     note_control_run();
+    report_sent();
     heartbeat_timer.expires_after(options.heartbeat_interval);
     heartbeat_timer.async_wait(
         [this](const proxy::error_code& ec)
@@ -392,11 +403,13 @@
     note_revision(applied_revision);
     relay.apply_listing(all);
     std::set<std::string> present;
+    servers.ignores_departed = restored.hold_until != time_point{};
     for (const auto& it : all.entries)
     {
         present.insert(it.key);
         apply_entry(it);
     }
+    servers.ignores_departed = false;
     std::vector<backend_server_id> missing;
     for (const auto& [id, server] : servers.servers)
         if (!present.contains(platform.layout.server_prefix + id.value))
@@ -419,8 +432,8 @@
     if (usage)
         usage->apply_listing(present.contains(usage_holder_key()),
                              all.store_revision);
-    LOG4CPLUS_INFO(log, "event=listed keys=" << all.entries.size()
-                                             << " revision="
+    LOG4CPLUS_INFO(log, "event=listed keys=" << all.entries.size() << " bytes="
+                                             << count_bytes(all) << " revision="
                                              << all.store_revision.value);
     schedule_removals();
     update_roster();
@@ -449,7 +462,6 @@
     begin_hold(restored, now());
     // Servers that the copy lacks are kept as after an outage.
     last_outage = now();
-    servers.store_restored = true;
     note_restored_store(rollouts);
     if (usage)
         usage->note_restored_store();
@@ -464,20 +476,14 @@
         return;
     applied_revision = changes.store_revision;
     note_revision(applied_revision);
-    const auto relayed = relay.apply_changes(changes);
-    if (!changes.entries.empty())
-        LOG4CPLUS_INFO(log, "event=changes_received source="
-                                << source
-                                << " revision=" << changes.store_revision.value
-                                << " entries=" << changes.entries.size()
-                                << " relayed_to=" << relayed.watches
-                                << " relayed_bytes=" << relayed.bytes);
     const auto is_removed_server = [&](const store::entry& it)
     {
         return it.key_revision == revision(0) &&
                it.key.starts_with(platform.layout.server_prefix);
     };
     const auto when = removal_time();
+    std::set<std::string> changed;
+    std::set<std::string> repeated;
     for (const auto& it : changes.entries)
     {
         if (is_removed_server(it))
@@ -490,10 +496,18 @@
         }
         else if (it.key_revision == revision(0))
             apply_removal(it.key);
-        else
-            apply_entry(it);
+        else if (apply_entry(it))
+        {
+            repeated.insert(it.key);
+            continue;
+        }
+        changed.insert(it.key);
     }
-    if (changes.entries.empty())
+    // A batch may hold several changes of a key.
+    std::erase_if(repeated, [&](const std::string& key)
+                  { return changed.contains(key); });
+    pass_on(changes, source, repeated);
+    if (changed.empty())
         return;
     if (source == "store")
     {
@@ -504,6 +518,25 @@
     publish();
 }
 
+void control_plane::pass_on(const store::list_result& changes,
+                            const std::string& source,
+                            const std::set<std::string>& repeated)
+{
+    const auto relayed = relay.apply_changes(changes, repeated);
+    if (changes.entries.size() > repeated.size())
+        LOG4CPLUS_INFO(log, "event=changes_received source="
+                                << source
+                                << " revision=" << changes.store_revision.value
+                                << " entries=" << changes.entries.size()
+                                << " repeated=" << repeated.size()
+                                << " relayed_to=" << relayed.watches
+                                << " relayed_bytes=" << relayed.bytes);
+    if (now() - last_revision_passed < options.revision_answer_interval)
+        return;
+    last_revision_passed = now();
+    relay.pass_revision_on();
+}
+
 // Schedules the next delayed removal of a server.
 void control_plane::schedule_removals()
 {
@@ -530,7 +563,7 @@
     LOG4CPLUS_WARN(log, "event=unknown_value detail=\"" << detail << '"');
 }
 
-void control_plane::apply_entry(const store::entry& it)
+bool control_plane::apply_entry(const store::entry& it)
 {
     const auto& layout = platform.layout;
     release_order(restored, it.key);
@@ -539,7 +572,7 @@
         if (it.key == layout.configuration_key)
             apply_configuration(it);
         else if (it.key.starts_with(layout.server_prefix))
-            apply_server(it);
+            return apply_server(it);
         else if (it.key.starts_with(layout.rollout_prefix))
         {
             const auto order =
@@ -587,6 +620,7 @@
             steering::remove_server(servers, backend_server_id(*id), now(),
                                     now());
     }
+    return false;
 }
 
 void control_plane::apply_member(const member_record& record)
@@ -645,17 +679,21 @@
         note_unknown_value(it);
 }
 
-void control_plane::apply_server(const store::entry& it)
+bool control_plane::apply_server(const store::entry& it)
 {
     const backend_server_id id(
         it.key.substr(platform.layout.server_prefix.size()));
     auto server = platform.decode_server(id, it.value, config.regions, now());
     const bool draining = server.draining;
     const bool cold = server.cold_until > now();
-    if (steering::put_server(servers, std::move(server)))
-        LOG4CPLUS_INFO(log, "event=server_changed server="
-                                << id.value << " draining=" << draining
-                                << " cold=" << cold);
+    // Peers must learn that a delayed removal is cancelled.
+    const bool was_removed = servers.pending_removals.contains(id);
+    if (!steering::put_server(servers, std::move(server), now()))
+        return !was_removed;
+    LOG4CPLUS_INFO(log, "event=server_changed server="
+                            << id.value << " draining=" << draining
+                            << " cold=" << cold);
+    return false;
 }
 
 void control_plane::renew_registration()
@@ -907,7 +945,7 @@
 {
     const auto bytes = pack_value(make_digest(report));
     for (const auto& [id, peer] : fleet.peers)
-        send_to(peer.record, bytes);
+        send_to(peer.record, bytes, message::digest);
     new_peers.clear();
 }
 
@@ -919,16 +957,31 @@
     const auto bytes = pack_value(make_digest(last_report));
     for (const auto& id : std::exchange(new_peers, {}))
         if (const auto it = fleet.peers.find(id); it != fleet.peers.end())
-            send_to(it->second.record, bytes);
+            send_to(it->second.record, bytes, message::greeting);
 }
 
-void control_plane::send_to(const member_record& peer, const std::string& bytes)
+void control_plane::send_to(const member_record& peer, const std::string& bytes,
+                            telemetry::peer_message kind)
 {
     proxy::error_code ec;
     const auto address = proxy::asio::ip::make_address(peer.address, ec);
     if (!ec)
         peer_socket.send_to(proxy::asio::buffer(bytes),
                             {address, peer.peer_port}, 0, ec);
+    counters.count_sent(kind, 1, bytes.size());
+}
+
+void control_plane::report_sent()
+{
+    const auto total = relay.answered();
+    counters.count_sent(message::relayed_changes,
+                        total.watches - reported_relayed.watches,
+                        total.bytes - reported_relayed.bytes);
+    reported_relayed = total;
+    if (now() - last_sent_log < options.sent_log_interval)
+        return;
+    last_sent_log = now();
+    LOG4CPLUS_INFO(log, "event=sent_to_peers " << counters.describe_sent());
 }
 
 milliseconds control_plane::current_digest_interval() const
@@ -976,6 +1029,7 @@
                           [this](const std::string& key)
                           { apply_removal(key); });
     relay.expire_watches(now());
+    relay.pass_revision_on();
     const auto live = live_peers(fleet, options.fleet, now());
     update_watch_source(live);
     notify_store_watchers();
--- a/src/steering/server_registry.hpp
+++ b/src/steering/server_registry.hpp
@@ -50,11 +50,10 @@
 
 using server_ptr = std::shared_ptr<const backend_server>;
 
-// The last report of a server before it was removed.
+// A server that was removed.
 struct departed_server
 {
     std::int64_t started_ms = 0;
-    std::int64_t sequence = 0;
     time_point removed_at{};
 };
 
@@ -66,16 +65,19 @@
     std::map<backend_server_id, time_point> pending_removals;
     // Servers that were removed lately.
     std::unordered_map<backend_server_id, departed_server> departed;
-    // Whether the store has come back from an older copy. Records that are no
-    // newer than the last one of a departed server are ignored then.
-    bool store_restored = false;
+    // Whether records of departed servers are ignored: a store that has come
+    // back from an older copy lists them until their leases end.
+    bool ignores_departed = false;
 };
 
 // Adds or replaces a server and cancels its delayed removal. Ignores a record
 // of an earlier process of the same id and an earlier report of the same
-// process, or one that a departed server wrote before it left if the store was
-// restored. Returns whether anything changed.
-bool put_server(server_registry& registry, backend_server server);
+// process, and one of a departed server while these are ignored. Returns
+// whether anything changed that decisions depend on: a new sequence number
+// alone is no such change, nor is an end of the warm-up that differs by less
+// than the time that a report may take, or that has passed at both times.
+bool put_server(server_registry& registry, backend_server server,
+                time_point now = {});
 
 // Removes a server at the effective time, or at once if that has passed.
 // Returns whether the server was removed at once.
