Learn the capacity and the pace of backend servers from their responses

Callers saw servers judged by their slots alone: a server that slows down before its slots are full got requests up to them, and half a second of slowness on a shared machine counted as slowness of the server for seconds, which moved objects to servers that are cold for them.

Each instance now learns a limit of concurrency for each server and service, reads the fourth figure of the load header as the pace of the machine, weighs it by its age and by whether response times confirm it, and learns for how long servers keep an object where the pace is reported.

Instances of a fleet of 76 get one response of a server in about 6 s, so the pace is nearly always too old for the choice; it only keeps the averages clean.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -1,6 +1,7 @@
 #include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/edge/request_flow.hpp>
 #include <parsleyplank/edge/response_headers.hpp>
+#include <parsleyplank/edge/server_capacity_state.hpp>
 #include <parsleyplank/edge/server_limits.hpp>
 
 #include <algorithm>
@@ -417,6 +418,8 @@
     if (status == status_misdirected)
         return steering::request_result::bad;
     record_notice(placed, result);
+    if (refused && report)
+        learn_from_refusal(state, *placed.server, *report, now());
     if (refused)
         return report && report->running < report->slots
                    ? steering::request_result::bad
@@ -426,7 +429,7 @@
         count_result(state, *placed.server, true, false);
         return steering::request_result::bad;
     }
-    record_success(placed, result);
+    record_success(placed, result, report);
     return steering::request_result::good;
 }
 
@@ -450,25 +453,40 @@
                                      : " ignored=\"" + read.problem + "\""));
 }
 
-void request_flow::record_success(const server_placement& placed,
-                                  const proxy::call_result& result)
+void request_flow::log_limit(const server_placement& placed,
+                             const limit_change& change) const
+{
+    context.counters.count_limit_change(change.after < change.before);
+    LOG4CPLUS_INFO(context.log,
+                   "server=" << placed.server->id.value
+                             << " event=server_limit request=" << ex->request_id
+                             << " before=" << change.before
+                             << " after=" << change.after
+                             << " slots=" << placed.server->slots
+                             << " time_ratio=" << change.time_ratio);
+}
+
+void request_flow::record_success(
+    const server_placement& placed, const proxy::call_result& result,
+    const std::optional<steering::reported_load>& report)
 {
     auto& state = context.state;
     auto& load = state.loads[placed.server->id];
     auto& times = times_of(state, *route, service);
     const auto object = steering::object_hash(route->id, affinity_key);
-    const bool known_warm =
-        steering::served_recently(load, object, state.options.health, now());
+    const auto learned =
+        learn_from_response(state,
+                            {*placed.server, placed.rank, *route, object,
+                             report, result.latency, placed.cold},
+                            now());
     const bool slow =
         !placed.cold &&
-        steering::is_slow_response(times, placed.rank, known_warm,
-                                   result.latency, state.options.ranking);
+        steering::is_slow_response(times, placed.rank, learned.known_warm,
+                                   learned.latency, state.options.ranking);
     count_result(state, *placed.server, false, slow);
-    steering::record_object(load, object, state.options.health, now());
-    if (!placed.cold)
-        steering::record_latency(times, load, placed.rank, result.latency,
-                                 state.options.ranking, state.options.health,
-                                 now());
+    steering::record_object(load, object, retention_of(state, service), now());
+    if (learned.change)
+        log_limit(placed, *learned.change);
     steering::record_size(
         times, ex->request.body().size() + result.response.body().size(),
         state.options.ranking);
@@ -484,6 +502,7 @@
                             ? milliseconds(0)
                             : known->second->warmup;
     load.cold_until = load.ejected_until + warmup;
+    load.capacity = {};
     context.pool.drop(placed.server->id);
 }
 
@@ -699,6 +718,7 @@
             << " server_ms=" << server_latency.count() / 1'000
             << " expected_ms=" << rank.expected.count()
             << " queue=" << rank.queue_factor << " warm=" << rank.warm
+            << " limit=" << rank.limit << " pace=" << rank.pace
             << " config=" << (routing ? routing->config->version.value : 0)
             << " state_age_ms=" << state_age.count()
             << (last_detail.empty() ? "" : " detail=\"" + last_detail + "\""));
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -7,6 +7,7 @@
 
 #include <parsleyplank/core/pause_detector.hpp>
 #include <parsleyplank/core/reason.hpp>
+#include <parsleyplank/edge/server_capacity_state.hpp>
 #include <parsleyplank/edge/server_placement.hpp>
 #include <parsleyplank/edge/token_exchange.hpp>
 #include <parsleyplank/proxy/upstream_call.hpp>
@@ -84,7 +85,10 @@
     void record_notice(const server_placement& placed,
                        const proxy::call_result& result);
     void record_success(const server_placement& placed,
-                        const proxy::call_result& result);
+                        const proxy::call_result& result,
+                        const std::optional<steering::reported_load>& report);
+    void log_limit(const server_placement& placed,
+                   const limit_change& change) const;
     void mark_unreachable(const server_placement& placed);
     bool may_retry(retry_reason reason, bool reached_server);
     proxy::request_view make_request(const server_placement& placed) const;
--- a/src/edge/response_headers.cpp
+++ b/src/edge/response_headers.cpp
@@ -42,6 +42,23 @@
     return found;
 }
 
+// Reads the first figure of a list and removes it from the text. Returns
+// nullopt if it is missing or not a number of at least 0.
+std::optional<double> next_figure(std::string_view& text)
+{
+    constexpr std::string_view blanks = " \t";
+    text.remove_prefix(std::min(text.find_first_not_of(blanks), text.size()));
+    double value = 0;
+    const auto parsed =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc() || !std::isfinite(value) || value < 0)
+        return std::nullopt;
+    const auto comma = text.find(',');
+    text = comma == std::string_view::npos ? std::string_view()
+                                           : text.substr(comma + 1);
+    return value;
+}
+
 } // namespace
 
 std::optional<steering::reported_load>
@@ -51,15 +68,17 @@
     std::array<double, 3> values{};
     for (auto& value : values)
     {
-        const auto parsed =
-            std::from_chars(text.data(), text.data() + text.size(), value);
-        if (parsed.ec != std::errc() || !std::isfinite(value) || value < 0)
+        const auto figure = next_figure(text);
+        if (!figure)
             return std::nullopt;
-        const auto comma = text.find(',');
-        text = comma == std::string_view::npos ? std::string_view()
-                                               : text.substr(comma + 1);
+        value = *figure;
     }
-    return steering::reported_load{values[0], values[1], values[2]};
+    steering::reported_load load{values[0], values[1], values[2], {}};
+    // Servers of an earlier version do not report their pace.
+    constexpr double usual_pace = 100;
+    if (const auto pace = next_figure(text); pace && *pace > 0)
+        load.pace = *pace / usual_pace;
+    return load;
 }
 
 read_notice_result read_notice(const header_names& names,
--- a/src/edge/server_placement.cpp
+++ b/src/edge/server_placement.cpp
@@ -1,4 +1,5 @@
 #include <parsleyplank/edge/region_room.hpp>
+#include <parsleyplank/edge/server_capacity_state.hpp>
 #include <parsleyplank/edge/server_limits.hpp>
 #include <parsleyplank/edge/server_placement.hpp>
 
@@ -68,6 +69,7 @@
     std::vector<steering::server_limit*> remote_limits;
     const auto object =
         steering::object_hash(request.route.id, request.affinity_key);
+    const auto retention = retention_of(state, request.service);
     for (const auto& server : servers_of(state, request.service))
     {
         if (!steering::region_allowed(request.route, request.customer,
@@ -99,10 +101,11 @@
             state.options.health, now);
         found.push_back(
             {server, &load, proximity, cold,
-             steering::served_recently(load, object, state.options.health, now),
+             steering::served_recently(load, object, retention, now),
              // Few requests of others are at a server with a limit, however
              // many the other servers of its region have.
              limited ? 0 : per_slot * server->slots});
+        add_capacity(state, found.back(), now);
     }
     // Servers of other regions are needed only if this region has none.
     const bool local = std::ranges::any_of(
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -92,6 +92,10 @@
 {
     auto& load = state.loads[server.id];
     steering::record_report(load, report, now);
+    steering::check_process(load.capacity, server.started_ms);
+    if (report.pace)
+        steering::record_pace(load.capacity.pace, *report.pace,
+                              state.options.capacity, now);
     steering::record_region_load(
         state.region_loads[{server.service, server.region}],
         load.others / static_cast<double>(std::max(1U, server.slots)),
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -26,6 +26,7 @@
 {
     steering::ranking_options ranking;
     steering::health_options health;
+    steering::capacity_options capacity;
     steering::shift_options shift;
     // Part of the fleet's retry allowance that instances use. The rest is a
     // reserve for instances that know fewer members than there are.
@@ -61,6 +62,8 @@
     std::map<std::pair<service_id, region_id>, steering::region_load>
         region_loads;
     std::map<std::pair<route_id, service_id>, steering::service_times> times;
+    // What the servers of a service have in common.
+    std::unordered_map<service_id, steering::service_capacity> capacities;
     token_pool_state tokens;
     std::unordered_map<service_id, placement::retry_budget> retries;
     std::unordered_map<route_id, split_state> splits;
--- a/src/steering/server_load.cpp
+++ b/src/steering/server_load.cpp
@@ -103,23 +103,31 @@
 }
 
 void record_object(server_load& load, std::uint64_t object,
-                   const health_options& options, time_point now)
+                   milliseconds retention, time_point now)
 {
     // Bounds the memory use; expired objects are erased when the table is full.
     constexpr std::size_t max_objects = 512;
     if (load.objects.size() >= max_objects)
         std::erase_if(load.objects, [&](const auto& it)
-                      { return now - it.second > options.object_retention; });
+                      { return now - it.second > retention; });
     if (load.objects.size() < max_objects || load.objects.contains(object))
         load.objects[object] = now;
 }
 
-bool served_recently(const server_load& load, std::uint64_t object,
-                     const health_options& options, time_point now)
+std::optional<milliseconds>
+time_since_served(const server_load& load, std::uint64_t object, time_point now)
 {
     const auto it = load.objects.find(object);
-    return it != load.objects.end() &&
-           now - it->second <= options.object_retention;
+    if (it == load.objects.end())
+        return std::nullopt;
+    return std::chrono::duration_cast<milliseconds>(now - it->second);
+}
+
+bool served_recently(const server_load& load, std::uint64_t object,
+                     milliseconds retention, time_point now)
+{
+    const auto gap = time_since_served(load, object, now);
+    return gap && *gap <= retention;
 }
 
 bool is_unresponsive(const server_load& load, const health_options& options,
--- a/src/steering/server_load.hpp
+++ b/src/steering/server_load.hpp
@@ -7,6 +7,7 @@
 
 #include <parsleyplank/core/clock.hpp>
 #include <parsleyplank/quota/token_bucket.hpp>
+#include <parsleyplank/steering/server_capacity.hpp>
 
 #include <cstdint>
 #include <map>
@@ -41,7 +42,7 @@
     // again.
     milliseconds slowness_half_life{3'000};
     // Time for which a server is assumed to retain an object that it has
-    // served.
+    // served, until this is learned.
     milliseconds object_retention{6'000};
 };
 
@@ -51,6 +52,9 @@
     double running = 0;
     double waiting = 0;
     double slots = 0;
+    // Time that work takes on the server's machine, relative to the usual time;
+    // nullopt if not reported.
+    std::optional<double> pace;
 };
 
 // A request in flight, used to detect unresponsive servers.
@@ -92,6 +96,7 @@
     // After an ejection or a lost connection the server may have been restarted
     // without notice, so it is treated as cold until this time.
     time_point cold_until{};
+    server_capacity capacity;
     // Last time each object was served there, by the hash of its key.
     std::unordered_map<std::uint64_t, time_point> objects;
     // This instance's part of the rate that the server takes while it is cold.
@@ -139,13 +144,20 @@
 double slowness_of(const server_load& load, const health_options& options,
                    time_point now);
 
-// Records that the server has served an object.
+// Records that the server has served an object. `retention` is the time for
+// which it is assumed to retain it.
 void record_object(server_load& load, std::uint64_t object,
-                   const health_options& options, time_point now);
+                   milliseconds retention, time_point now);
+
+// Returns the time since the server last served the object for this instance;
+// nullopt if it is not known to have done so.
+std::optional<milliseconds> time_since_served(const server_load& load,
+                                              std::uint64_t object,
+                                              time_point now);
 
 // Returns whether the server has served the object within the retention time.
 bool served_recently(const server_load& load, std::uint64_t object,
-                     const health_options& options, time_point now);
+                     milliseconds retention, time_point now);
 
 // Returns whether a request has waited too long without any data from the
 // server.
--- a/src/steering/server_ranking.cpp
+++ b/src/steering/server_ranking.cpp
@@ -83,14 +83,20 @@
     return kept.empty() ? usable : kept;
 }
 
+// Returns the number of requests that the server takes well at a time.
+double usable_slots(const candidate& it)
+{
+    return it.limit > 0 ? it.limit
+                        : static_cast<double>(std::max(1U, it.server->slots));
+}
+
 // Returns whether the server has enough free slots to warm up for an object
 // without delaying its other requests.
 bool can_warm_object(const candidate& it, const ranking_options& options,
                      const health_options& health, time_point now)
 {
-    const auto slots = static_cast<double>(std::max(1U, it.server->slots));
     return load_of(*it.load, it.average_others, health, now) + 1 <=
-           std::max(1.0, slots * options.warming_load);
+           std::max(1.0, usable_slots(it) * options.warming_load);
 }
 
 // Returns the server with the lowest rank among those of similar cost to the
@@ -146,11 +152,11 @@
                             const health_options& health, time_point now)
 {
     const auto factor = cold_factor_of(times, options);
-    const auto slowness = slowness_of(*it.load, health, now);
+    const auto slowness = slowness_of(*it.load, health, now) * it.pace;
     double work = times.warm_ms * slowness * (warm ? 1 : factor);
     if (it.cold)
         work *= options.cold_server_factor;
-    const auto slots = static_cast<double>(std::max(1U, it.server->slots));
+    const auto slots = usable_slots(it);
     const auto ahead =
         load_of(*it.load, it.average_others, health, now) + 1 - slots;
     const auto queue = std::max(0.0, ahead / slots);
@@ -163,7 +169,9 @@
             warm,
             queue,
             expected + crossing_ms(it, times.kilobytes, options) +
-                risk * options.failure_cost * times.warm_ms};
+                risk * options.failure_cost * times.warm_ms,
+            slots,
+            it.pace};
 }
 
 } // namespace
@@ -253,6 +261,25 @@
            usual * options.slow_factor;
 }
 
+double work_ms(const server_load& load, std::chrono::microseconds latency)
+{
+    const auto trip =
+        load.round_trip.value_or(std::chrono::microseconds::zero());
+    return std::max(1.0, to_ms(latency - trip));
+}
+
+bool is_warm_latency(const service_times& times, const server_load& load,
+                     const ranked_server& chosen,
+                     std::chrono::microseconds latency,
+                     const ranking_options& options,
+                     const health_options& health, time_point now)
+{
+    const auto usual = times.warm_ms * slowness_of(load, health, now) *
+                       (1 + chosen.queue_factor);
+    return work_ms(load, latency) <=
+           usual * std::sqrt(cold_factor_of(times, options));
+}
+
 void record_latency(service_times& times, server_load& load,
                     const ranked_server& chosen,
                     std::chrono::microseconds latency,
@@ -261,10 +288,7 @@
 {
     load.slowness = slowness_of(load, health, now);
     load.slowness_at = now;
-    const auto trip =
-        load.round_trip.value_or(std::chrono::microseconds::zero());
-    const auto work =
-        std::max(1.0, to_ms(latency - trip)) / (1 + chosen.queue_factor);
+    const auto work = work_ms(load, latency) / (1 + chosen.queue_factor);
     const auto weight = options.sample_weight;
     times.mean_ms += (work / load.slowness - times.mean_ms) * weight;
     if (chosen.warm)
--- a/src/steering/server_ranking.hpp
+++ b/src/steering/server_ranking.hpp
@@ -113,6 +113,9 @@
     double cold_factor = 0;
     // Average size of a request and its response together.
     double kilobytes = 4;
+    // Service time of warm requests on servers with little load; 0 until
+    // learned.
+    double unloaded_ms = 0;
 };
 
 // Network distance of a server from this instance.
@@ -134,6 +137,10 @@
     bool served_recently = false;
     // Average number of requests of other callers at a server of its region.
     double average_others = 0;
+    // Requests that the server takes well at a time; 0 for all its slots.
+    double limit = 0;
+    // Expected pace of the server's machine, relative to its typical one.
+    double pace = 1;
 };
 
 struct ranked_server
@@ -151,6 +158,9 @@
     // Cost that servers are compared by: the expected time plus the costs of
     // crossing failure domains and regions and of the risk of failure.
     double cost_ms = 0;
+    // Requests at a time and pace that the expected time is based on.
+    double limit = 0;
+    double pace = 1;
 };
 
 // Returns the initial service times of a route.
@@ -182,6 +192,17 @@
                     const ranking_options& options,
                     const health_options& health, time_point now);
 
+// Returns whether a latency is that of a request to a server that keeps its
+// object warm.
+bool is_warm_latency(const service_times& times, const server_load& load,
+                     const ranked_server& chosen,
+                     std::chrono::microseconds latency,
+                     const ranking_options& options,
+                     const health_options& health, time_point now);
+
+// Returns the latency without the round trip, in milliseconds, at least 1.
+double work_ms(const server_load& load, std::chrono::microseconds latency);
+
 // Updates the average size with that of a request and its response.
 void record_size(service_times& times, std::size_t bytes,
                  const ranking_options& options);
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -36,6 +36,9 @@
                     .Name("parsleyplank_request_duration_seconds")
                     .Help("Time from arrival to response.")
                     .Register(registry)),
+      limit_changes(
+          make_counters(registry, "parsleyplank_server_limit_changes_total",
+                        "Changes of learned server limits, by direction.")),
       lookups(make_counters(registry, "parsleyplank_lookups_total",
                             "Look-ups answered.")
                   .Add({})),
@@ -71,6 +74,11 @@
     retries.Add({{"reason", std::string(to_string(reason))}}).Increment();
 }
 
+void metrics::count_limit_change(bool lowered)
+{
+    limit_changes.Add({{"direction", lowered ? "down" : "up"}}).Increment();
+}
+
 void metrics::count_lookup()
 {
     lookups.Increment();
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -35,6 +35,9 @@
     // Counts a value of the platform's records that this version does not know.
     void count_unknown_value();
 
+    // Counts a change of the learned limit of a backend server.
+    void count_limit_change(bool lowered);
+
     // Counts a finished request of a route by outcome, with its duration.
     void count_request(const route_id& route, run_outcome outcome,
                        std::chrono::microseconds duration);
@@ -57,6 +60,7 @@
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Counter>& customer_refusals;
     prometheus::Family<prometheus::Histogram>& durations;
+    prometheus::Family<prometheus::Counter>& limit_changes;
     prometheus::Counter& lookups;
     prometheus::Counter& callers_gone;
     prometheus::Counter& unknown_values;
