--- a/src/edge/server_placement.cpp
+++ b/src/edge/server_placement.cpp
@@ -1,4 +1,5 @@
 #include <parsleyplank/edge/region_room.hpp>
+#include <parsleyplank/edge/server_capacity_state.hpp>
 #include <parsleyplank/edge/server_limits.hpp>
 #include <parsleyplank/edge/server_placement.hpp>
 
@@ -68,6 +69,7 @@
     std::vector<steering::server_limit*> remote_limits;
     const auto object =
         steering::object_hash(request.route.id, request.affinity_key);
+    const auto retention = retention_of(state, request.service);
     for (const auto& server : servers_of(state, request.service))
     {
         if (!steering::region_allowed(request.route, request.customer,
@@ -99,10 +101,11 @@
             state.options.health, now);
         found.push_back(
             {server, &load, proximity, cold,
-             steering::served_recently(load, object, state.options.health, now),
+             steering::served_recently(load, object, retention, now),
              // Few requests of others are at a server with a limit, however
              // many the other servers of its region have.
              limited ? 0 : per_slot * server->slots});
+        add_capacity(state, found.back(), now);
     }
     // Servers of other regions are needed only if this region has none.
     const bool local = std::ranges::any_of(
@@ -257,9 +260,36 @@
         decision.rank.expected > request.time_left)
         decision.placed = choose_among(state, request, local_servers,
                                        overflow_region, true, now);
+    if (decision.placed &&
+        decision.placed->rank.expected >
+            request.must_end_within.value_or(decision.placed->rank.expected))
+    {
+        decision.placed = choose_among(state, request, local_servers,
+                                       overflow_region, true, now);
+        if (decision.placed &&
+            decision.placed->rank.expected > *request.must_end_within)
+            decision.placed.reset();
+    }
     if (decision.placed)
         decision.rank = decision.placed->rank;
     return decision;
 }
 
+std::optional<server_placement> place_second(traffic_state& state,
+                                             const placement_request& request,
+                                             time_point now)
+{
+    const auto policy = state.snapshot->versions.find(request.service);
+    if (policy != state.snapshot->versions.end() && policy->second.target)
+        return std::nullopt;
+    auto candidates = find_candidates(state, request, now);
+    filter_by_version(state, request.service, candidates);
+    std::erase_if(candidates,
+                  [](const steering::candidate& it) {
+                      return it.cold ||
+                             it.proximity == steering::distance::other_region;
+                  });
+    return choose_among(state, request, candidates, {}, true, now);
+}
+
 } // namespace parsleyplank::edge
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -63,6 +63,9 @@
     // of each kind, for the log.
     std::string describe_sent() const;
 
+    // Counts a change of the learned limit of a backend server.
+    void count_limit_change(bool lowered);
+
     // Counts a finished request of a route by outcome, with its duration.
     void count_request(const route_id& route, run_outcome outcome,
                        std::chrono::microseconds duration);
@@ -85,6 +88,7 @@
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Counter>& customer_refusals;
     prometheus::Family<prometheus::Histogram>& durations;
+    prometheus::Family<prometheus::Counter>& limit_changes;
     prometheus::Counter& lookups;
     prometheus::Counter& callers_gone;
     prometheus::Counter& unknown_values;
