--- a/src/core/reason.cpp
+++ b/src/core/reason.cpp
@@ -33,6 +33,8 @@
         return "claim_outcome_unknown";
     case refusal_reason::no_capacity:
         return "no_capacity";
+    case refusal_reason::admission_level:
+        return "admission_level";
     case refusal_reason::link_bandwidth:
         return "link_bandwidth";
     case refusal_reason::shift_cap:
@@ -116,6 +118,7 @@
     case refusal_reason::stale_state:
     case refusal_reason::claim_timeout:
     case refusal_reason::no_capacity:
+    case refusal_reason::admission_level:
     case refusal_reason::link_bandwidth:
     case refusal_reason::shift_cap:
     case refusal_reason::draining:
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -808,7 +808,8 @@
                          applied_revision,
                          {},
                          {},
-                         make_limit_reports(report.limits, now())};
+                         make_limit_reports(report.limits, now()),
+                         make_admission_reports(report.admission)};
     for (const auto& [service, rollout] : rollouts)
     {
         if (!rollout.order)
@@ -889,6 +890,8 @@
 void control_plane::process_report(const traffic_report& report)
 {
     options.fleet.digest_interval = current_digest_interval();
+    for (const auto& it : report.level_changes)
+        LOG4CPLUS_INFO(log, "event=admission_level" << it);
     reload_if_changed();
     renew_registration();
     remove_expired_peers(fleet, options.fleet, now());
@@ -1061,6 +1064,7 @@
     update_servers(*next);
     add_rates(*next);
     add_limits(*next, fleet, options.fleet, now());
+    add_admission(*next, fleet, self.region, options.fleet, now());
     traffic.publish(std::move(next));
 }
 
--- a/src/edge/fleet_view.cpp
+++ b/src/edge/fleet_view.cpp
@@ -43,6 +43,11 @@
     return static_cast<std::uint32_t>(hash64(id.value));
 }
 
+std::uint32_t service_number(const service_id& id)
+{
+    return static_cast<std::uint32_t>(hash64(id.value));
+}
+
 std::uint64_t server_number(const steering::backend_server& server)
 {
     return hash64(server.id.value,
--- a/src/edge/fleet_view.hpp
+++ b/src/edge/fleet_view.hpp
@@ -82,6 +82,24 @@
     MSGPACK_DEFINE_ARRAY(server, per_second, age_ms, wanted)
 };
 
+// Admission to a service that lacks room, as one instance sees it.
+struct admission_report
+{
+    // Identifies the service, as service_number returns it.
+    std::uint32_t service = 0;
+    // Priority of the customer, that of the route, and the part of that rank
+    // which is admitted, in 255ths: 8 bits each, the first in the highest.
+    std::uint32_t level = 0;
+    // Tenths of requests per second.
+    std::uint32_t arrived = 0;
+    std::uint32_t admitted = 0;
+    std::uint32_t unmet = 0;
+
+    bool operator==(const admission_report&) const = default;
+
+    MSGPACK_DEFINE_ARRAY(service, level, arrived, admitted, unmet)
+};
+
 // State that an instance sends to all peers at a regular interval, in one
 // datagram.
 struct member_digest
@@ -100,18 +118,23 @@
     std::vector<customer_demand> demands;
     std::vector<rollout_report> rollouts;
     std::vector<limit_report> limits;
+    std::vector<admission_report> admission;
 
     bool operator==(const member_digest&) const = default;
 
     MSGPACK_DEFINE_ARRAY(id, started_ms, sequence_number, leaving,
                          store_reachable, store_revision, demands, rollouts,
-                         limits)
+                         limits, admission)
 };
 
 // Returns the 32-bit hash of the customer's id, which identifies the customer
 // in datagrams between instances.
 std::uint32_t customer_number(const customer_id& id);
 
+// Returns the 32-bit hash of the service's id, which identifies the service in
+// datagrams between instances.
+std::uint32_t service_number(const service_id& id);
+
 // Returns the hash of the id and the start time of the server, which identifies
 // its process in datagrams between instances.
 std::uint64_t server_number(const steering::backend_server& server);
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -111,10 +111,11 @@
         header_value(ex->request, context.platform.headers.time_left_ms));
     deadline = ex->received + route->timeout;
     answer_by = deadline + deadline_grace;
+    caller_limit = deadline;
     if (!given || *given < 0)
         return;
     // The caller waits no longer than the time in its header.
-    const auto caller_limit = ex->received + milliseconds(*given);
+    caller_limit = ex->received + milliseconds(*given);
     deadline = std::min(deadline, caller_limit);
     answer_by = std::min(answer_by, caller_limit - answer_margin);
 }
@@ -235,6 +236,37 @@
     add_own(context.state.tokens, customer_number(customer->id), 1);
 }
 
+admission_request request_flow::make_admission_request() const
+{
+    return {*route, customer, service, affinity_key, until(caller_limit)};
+}
+
+bool request_flow::admit_rank()
+{
+    const auto unix_ms = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    const auto level = refuse_by_rank(context.state, make_admission_request(),
+                                      unix_ms.count(), now());
+    if (!level)
+        return true;
+    last_detail = "level " + steering::to_string(level->boundary) + " part " +
+                  std::to_string(level->part);
+    refuse_for_room(refusal_reason::admission_level, std::nullopt);
+    return false;
+}
+
+void request_flow::refuse_for_room(refusal_reason reason,
+                                   std::optional<milliseconds> known)
+{
+    const auto wait =
+        std::min(max_retry_after, known.value_or(default_retry_after));
+    // A caller that gets the response of a failure does not return.
+    if (!failure_response && !may_have_run)
+        return_at = choose_return(context.state, make_admission_request(),
+                                  known ? wait : milliseconds(0), now());
+    give_up(reason, return_at ? return_at->after : wait);
+}
+
 placement_request request_flow::make_placement_request() const
 {
     const auto waited =
@@ -275,9 +307,10 @@
     rank = decision.rank;
     if (!decision.placed)
     {
-        give_up(sends > 0 ? refusal_reason::backend_shed : decision.reason,
-                std::min(max_retry_after,
-                         decision.retry_after.value_or(default_retry_after)));
+        note_unmet(context.state, service, now());
+        refuse_for_room(sends > 0 ? refusal_reason::backend_shed
+                                  : decision.reason,
+                        decision.retry_after);
         return std::nullopt;
     }
     if (would_be_cut_off(*decision.placed))
@@ -286,6 +319,7 @@
         return std::nullopt;
     }
     confirm_placement(context.state, *decision.placed, now());
+    note_placed(context.state, service);
     return decision.placed;
 }
 
@@ -332,6 +366,8 @@
         if (flow && flow->call)
             flow->call->cancel();
     };
+    if (!admit_rank())
+        co_return;
     count_send(context.state, service);
     auto step = next_step::try_again;
     while (step == next_step::try_again && !ex->cancelled)
@@ -538,7 +574,8 @@
         last_detail = "refused with " + std::to_string(status);
         if (may_retry(retry_reason::backend_shed, true))
             return next_step::try_again;
-        give_up(refusal_reason::backend_shed);
+        note_unmet(context.state, service, now());
+        refuse_for_room(refusal_reason::backend_shed, std::nullopt);
         return next_step::done;
     }
     if (status >= first_server_error && idempotent() &&
@@ -618,8 +655,9 @@
     if (retry_after > milliseconds(0))
     {
         constexpr double ms_per_s = 1'000;
+        // A place in the order of return is spread already.
         std::uniform_int_distribution<std::int64_t> spread(
-            0, retry_after_jitter.count());
+            0, return_at ? 0 : retry_after_jitter.count());
         const auto ms = retry_after.count() + spread(context.state.rng);
         std::array<char, 32> buf{};
         const auto n = std::snprintf(buf.data(), buf.size(), "%.3f",
@@ -698,7 +736,15 @@
             << " connection_ms=" << connection_age.count()
             << " server_ms=" << server_latency.count() / 1'000
             << " expected_ms=" << rank.expected.count()
-            << " queue=" << rank.queue_factor << " warm=" << rank.warm
+            << " queue=" << rank.queue_factor << " warm=" << rank.warm << " rank="
+            << (route == nullptr
+                    ? "-"
+                    : steering::to_string(rank_of(make_admission_request())))
+            << (return_at ? " return_ms=" +
+                                std::to_string(return_at->after.count()) +
+                                " return_in_time=" +
+                                std::to_string(int(return_at->in_time))
+                          : "")
             << " config=" << (routing ? routing->config->version.value : 0)
             << " state_age_ms=" << state_age.count()
             << (last_detail.empty() ? "" : " detail=\"" + last_detail + "\""));
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -59,6 +59,13 @@
     proxy::asio::awaitable<std::optional<bool>> request_token();
     proxy::asio::awaitable<bool> request_token_elsewhere();
     void return_token();
+    // Refuses the request if its rank is not admitted. Returns whether it is.
+    bool admit_rank();
+    admission_request make_admission_request() const;
+    // Refuses the request for lack of room; `known` is the time after which
+    // there is room, if a server has named it.
+    void refuse_for_room(refusal_reason reason,
+                         std::optional<milliseconds> known);
     // Returns whether the API keys known here are recent enough to be accepted.
     bool keys_fresh() const;
     void set_deadline();
@@ -115,6 +122,8 @@
     std::string affinity_key;
     // Deadline that is sent to backend servers.
     time_point deadline;
+    // Time until which the caller waits.
+    time_point caller_limit;
     // Latest time of the response to the caller.
     time_point answer_by;
     std::vector<backend_server_id> tried;
@@ -124,6 +133,8 @@
     std::optional<proxy::response_message> failure_response;
     bool token_taken = false;
     std::shared_ptr<proxy::upstream_call> call;
+    // Set if the refusal tells the caller a place in the order of return.
+    std::optional<steering::return_time> return_at;
     std::string last_detail;
     // Ranking of the last choice of a server.
     steering::ranked_server rank;
--- a/src/edge/snapshot.hpp
+++ b/src/edge/snapshot.hpp
@@ -5,6 +5,7 @@
 // are immutable and replaced as a whole.
 
 #include <parsleyplank/quota/token_stock.hpp>
+#include <parsleyplank/steering/admission.hpp>
 #include <parsleyplank/steering/directory.hpp>
 #include <parsleyplank/steering/rate_share.hpp>
 #include <parsleyplank/steering/rollout_plan.hpp>
@@ -67,6 +68,10 @@
     std::vector<steering::fleet_member> token_peers;
     // Limits that servers have named, by the number of the server in messages.
     std::unordered_map<std::uint64_t, peer_limit> limits;
+    // What the peers of this region report of the services that lack room, by
+    // the number of the service in messages.
+    std::unordered_map<std::uint32_t, std::vector<steering::peer_admission>>
+        admission;
     // Time until the peers know a new claim of this instance to a limit.
     milliseconds claim_delay{0};
     // False after a pause of the process until the store has been read again;
@@ -101,11 +106,21 @@
     bool wanted = false;
 };
 
-// Counts of the traffic thread since its start.
+// Admission to a service that lacks room at this instance.
+struct known_admission
+{
+    service_id service;
+    steering::peer_admission admission;
+};
+
+// Counts of the traffic thread since its start, and its present state.
 struct traffic_report
 {
     tally_table tallies;
     std::vector<known_limit> limits;
+    std::vector<known_admission> admission;
+    // One line for the log for each level of admission that has changed.
+    std::vector<std::string> level_changes;
 };
 
 } // namespace parsleyplank::edge
--- a/src/edge/traffic_state.cpp
+++ b/src/edge/traffic_state.cpp
@@ -65,6 +65,7 @@
                                  state.options.notice_retention;
                   });
     adopt_limits(state, now);
+    adopt_ranks(state);
 }
 
 const service_id& next_service(traffic_state& state,
@@ -144,6 +145,7 @@
     report.tallies = state.tallies;
     if (!state.notices.empty())
         report.limits = report_limits(state, now);
+    report_admission(state, report, now);
     return report;
 }
 
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -6,6 +6,7 @@
 
 #include <parsleyplank/core/reason.hpp>
 #include <parsleyplank/edge/adapter.hpp>
+#include <parsleyplank/edge/admission_control.hpp>
 #include <parsleyplank/edge/settings.hpp>
 #include <parsleyplank/edge/snapshot.hpp>
 #include <parsleyplank/edge/token_pool.hpp>
@@ -73,6 +74,7 @@
     // Surplus of the regions per service; computed when a snapshot is adopted.
     std::unordered_map<service_id, std::vector<steering::region_surplus>>
         surplus;
+    admission_state admission;
     std::mt19937_64 rng;
     std::uint64_t next_call = 1;
 };
