--- a/src/edge/admission_control.cpp
+++ b/src/edge/admission_control.cpp
@@ -136,6 +136,7 @@
     };
     std::erase_if(admission.services, gone);
     std::erase_if(admission.returns, gone);
+    std::erase_if(admission.waits, gone);
     std::erase_if(admission.limits,
                   [&](const auto& it)
                   {
@@ -192,6 +193,15 @@
         steering::count_unmet(it->second, now);
 }
 
+void note_wait(traffic_state& state, const service_id& service,
+               const steering::ranked_server& chosen,
+               std::chrono::microseconds latency)
+{
+    if (has_ranks(state, service))
+        steering::record_wait(state.admission.waits[service], chosen, latency,
+                              state.admission.wait_options);
+}
+
 std::optional<steering::return_time>
 choose_return(traffic_state& state, const admission_request& request,
               milliseconds min_wait, time_point now)
--- a/src/edge/admission_control.hpp
+++ b/src/edge/admission_control.hpp
@@ -7,6 +7,7 @@
 #include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/steering/admission.hpp>
 #include <parsleyplank/steering/return_schedule.hpp>
+#include <parsleyplank/steering/wait_decision.hpp>
 
 #include <map>
 #include <memory>
@@ -25,11 +26,13 @@
 {
     steering::admission_options options;
     steering::return_options return_options;
+    steering::wait_options wait_options;
     // Configuration that the ranks are those of.
     std::shared_ptr<const steering::routing_table> routing;
     // Services whose requests differ in rank.
     std::unordered_map<service_id, steering::service_admission> services;
     std::unordered_map<service_id, steering::return_schedule> returns;
+    std::unordered_map<service_id, steering::wait_correction> waits;
     std::unordered_map<route_id, steering::usual_limit> limits;
 };
 
@@ -66,6 +69,11 @@
 void note_unmet(traffic_state& state, const service_id& service,
                 time_point now);
 
+// Records how long a request took that was expected to wait.
+void note_wait(traffic_state& state, const service_id& service,
+               const steering::ranked_server& chosen,
+               std::chrono::microseconds latency);
+
 // Returns when the caller, which is refused for lack of room, may return;
 // nullopt if requests of the service don't differ in rank.
 std::optional<steering::return_time>
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -271,8 +271,13 @@
 {
     const auto waited =
         std::chrono::duration_cast<milliseconds>(now() - ex->received);
-    return {*route,       customer, service,
-            affinity_key, tried,    route->target_latency - waited};
+    return {*route,
+            customer,
+            service,
+            affinity_key,
+            tried,
+            route->target_latency - waited,
+            remaining()};
 }
 
 bool request_flow::would_be_cut_off(const server_placement& placed) const
@@ -501,6 +506,8 @@
                                    result.latency, state.options.ranking);
     count_result(state, *placed.server, false, slow);
     steering::record_object(load, object, state.options.health, now());
+    if (!placed.cold)
+        note_wait(state, service, placed.rank, result.latency);
     if (!placed.cold)
         steering::record_latency(times, load, placed.rank, result.latency,
                                  state.options.ranking, state.options.health,
@@ -574,6 +581,14 @@
         last_detail = "refused with " + std::to_string(status);
         if (may_retry(retry_reason::backend_shed, true))
             return next_step::try_again;
+        // A faulty server may refuse requests with slots free.
+        const auto report =
+            read_load(context.platform.headers, result.response);
+        if (report && report->running < report->slots)
+        {
+            give_up(refusal_reason::backend_shed);
+            return next_step::done;
+        }
         note_unmet(context.state, service, now());
         refuse_for_room(refusal_reason::backend_shed, std::nullopt);
         return next_step::done;
--- a/src/edge/server_placement.cpp
+++ b/src/edge/server_placement.cpp
@@ -204,6 +204,21 @@
     return server_placement{it.server, *chosen, it.cold};
 }
 
+// Returns whether a request that is not expected to meet its objective may wait
+// at the server all the same.
+bool waits_without_harm(traffic_state& state, const placement_request& request,
+                        const server_placement& placed)
+{
+    return has_ranks(state, request.service) &&
+           steering::may_wait(
+               state.admission.waits[request.service], placed.rank,
+               placed.server->slots,
+               times_of(state, request.route, request.service),
+               {request.time_left, request.caller_time_left,
+                request.route.target_latency},
+               state.admission.wait_options);
+}
+
 } // namespace
 
 void confirm_placement(traffic_state& state, const server_placement& placed,
@@ -254,7 +269,8 @@
         return decision;
     decision.rank = decision.placed->rank;
     if (decision.rank.queueing > milliseconds(0) &&
-        decision.rank.expected > request.time_left)
+        decision.rank.expected > request.time_left &&
+        !waits_without_harm(state, request, *decision.placed))
         decision.placed = choose_among(state, request, local_servers,
                                        overflow_region, true, now);
     if (decision.placed)
--- a/src/edge/server_placement.hpp
+++ b/src/edge/server_placement.hpp
@@ -24,6 +24,8 @@
     std::span<const backend_server_id> tried;
     // Time left of the latency objective.
     milliseconds time_left{0};
+    // Time that the caller has left.
+    milliseconds caller_time_left{0};
 };
 
 struct server_placement
--- /dev/null
+++ b/src/steering/wait_decision.hpp
@@ -0,0 +1,64 @@
+#ifndef PARSLEYPLANK_STEERING_WAIT_DECISION_HPP
+#define PARSLEYPLANK_STEERING_WAIT_DECISION_HPP
+
+// Decides whether a request that finds no free slot waits for one or is
+// refused. The expected wait is corrected by how long requests have waited,
+// because the load of servers is known from old reports and averages. See
+// docs/design/admission.md.
+
+#include <parsleyplank/steering/server_ranking.hpp>
+
+namespace parsleyplank::steering
+{
+
+struct wait_options
+{
+    // Least weight of one sample in the correction, and the number of samples
+    // that the initial value counts for.
+    double sample_weight = 0.03;
+    double initial_samples = 4;
+    // Wait from which a sample has its full weight. The spread of service times
+    // hides shorter waits.
+    milliseconds full_weight_wait{100};
+    // A request waits beyond its objective only if it would still be in time
+    // for its caller if it took this many times as long as expected.
+    double deadline_margin = 1.5;
+};
+
+// Measured wait for a slot relative to the expected one.
+struct wait_correction
+{
+    double factor = 1;
+    double samples = 0;
+};
+
+// Time left of the latency objective and of the caller's time limit.
+struct time_limits
+{
+    milliseconds to_objective{0};
+    milliseconds to_deadline{0};
+    milliseconds objective{0};
+};
+
+// Updates the correction with the measured latency of a request that was
+// expected to wait.
+void record_wait(wait_correction& correction, const ranked_server& chosen,
+                 std::chrono::microseconds latency,
+                 const wait_options& options);
+
+// Returns the corrected wait, and the expected time until the response with it.
+milliseconds expected_wait(const wait_correction& correction,
+                           const ranked_server& server);
+milliseconds expected_time(const wait_correction& correction,
+                           const ranked_server& server);
+
+// Returns whether the request may wait at the server: if it is expected to meet
+// its objective, or if it is expected to be in time for its caller and a new
+// request behind it would still meet the objective.
+bool may_wait(const wait_correction& correction, const ranked_server& server,
+              unsigned slots, const service_times& times,
+              const time_limits& limits, const wait_options& options);
+
+} // namespace parsleyplank::steering
+
+#endif
