--- a/src/edge/admission_control.cpp
+++ b/src/edge/admission_control.cpp
@@ -54,8 +54,8 @@
     return it == reported.end() ? none : it->second;
 }
 
-// Returns the part of the slots of the service in this region that is in use,
-// by the requests of this instance and the reports of the servers.
+// Returns the requests per slot of the service in this region: those of this
+// instance and those of others by the reports of the servers.
 double find_use(traffic_state& state, const service_id& service, time_point now)
 {
     double slots = 0;
@@ -103,7 +103,7 @@
          << " part=" << change.level.part
          << " arrived=" << change.region.arrived
          << " admitted=" << change.region.admitted
-         << " unmet=" << change.region.unmet;
+         << " unmet=" << change.region.unmet << " use=" << change.use;
     return text.str();
 }
 
--- a/src/steering/admission.cpp
+++ b/src/steering/admission.cpp
@@ -59,15 +59,14 @@
 double find_change(const admission_counts& region, double use,
                    const admission_options& options)
 {
-    if (region.admitted <= 0)
+    // Requests find no room at a busy server while others are free, and faulty
+    // servers refuse requests. Both are no lack of room of the service.
+    if (region.admitted <= 0 || use < options.target_use)
         return 1 + options.max_rise;
     const auto unmet = region.unmet / region.admitted;
-    if (unmet > options.fall_threshold)
+    if (unmet > options.fall_threshold && use >= options.full_use)
         return 1 - std::min(unmet, options.max_fall);
-    if (unmet >= options.rise_threshold)
-        return 1;
-    const auto room = use > 0 ? options.target_use / use - 1 : options.max_rise;
-    return 1 + std::clamp(room, options.min_rise, options.max_rise);
+    return unmet < options.rise_threshold ? 1 + options.min_rise : 1;
 }
 
 // Ends the counts of a step. Those of a step that was much too long, because
@@ -199,7 +198,7 @@
     const auto turn =
         static_cast<std::uint64_t>(unix_ms / options.rotation.count());
     return hash_fraction(hash64(subject, turn)) *
-           (1 - std::clamp(age, 0.0, 1.0));
+           (1 - std::clamp(age / options.full_age, 0.0, 1.0));
 }
 
 void set_ranks(service_admission& service, std::vector<request_rank> ranks)
@@ -310,7 +309,7 @@
         position = all_admitted(service);
     if (std::exchange(service.in_force, position) == position)
         return std::nullopt;
-    return level_change{level_at(service.ranks, position), region};
+    return level_change{level_at(service.ranks, position), region, use};
 }
 
 } // namespace parsleyplank::steering
--- a/src/steering/admission.hpp
+++ b/src/steering/admission.hpp
@@ -50,12 +50,17 @@
     // and below which it rises.
     double fall_threshold = 0.05;
     double rise_threshold = 0.01;
-    // Largest change of the admitted requests per step.
+    // Changes of the admitted requests per step.
     double max_fall = 0.3;
     double min_rise = 0.05;
-    double max_rise = 0.25;
-    // Part of the slots in use up to which a level rises faster.
-    double target_use = 0.9;
+    double max_rise = 0.3;
+    // Requests per slot from which a level may fall, and below which it rises
+    // in any case.
+    double full_use = 1.0;
+    double target_use = 0.85;
+    // Age, as a part of the usual time limit, of a caller that has waited as
+    // long as a refusal can tell.
+    double full_age = 1.0 / 3;
     // Shortest time between two steps.
     milliseconds min_step{500};
     // Half-life of the measured demand.
@@ -107,6 +112,7 @@
 {
     admission_level level;
     admission_counts region;
+    double use = 0;
 };
 
 // Usual time limit of the callers of a route, learned as the median of the
@@ -176,8 +182,8 @@
                    const admission_options& options, time_point now);
 
 // Ends the step if it has lasted long enough: derives the level from the counts
-// of this instance and of the peers. `use` is the part of the slots of the
-// service in this region that is in use; `step` is the time that a change needs
+// of this instance and of the peers. `use` is the number of requests, running
+// or waiting, per slot of the service in this region; `step` is the time that a change needs
 // to be heard of, twice. Returns the new level if it differs.
 std::optional<level_change>
 step_admission(service_admission& service,
--- a/test/correctness/steering_admission.cpp
+++ b/test/correctness/steering_admission.cpp
@@ -85,7 +85,12 @@
             ++served_at[it.instance][it.rank];
         }
         room = std::min(room - taken, capacity);
-        use = capacity > 0 ? taken / capacity : 1;
+        // Slots and queues are full while requests find no room. Reports are
+        // averaged over about a second.
+        const auto current = taken < static_cast<double>(admitted.size())
+                                 ? 1.5
+                                 : taken / capacity;
+        use += (current - use) / 10;
         exchange();
     }
 
