--- a/src/edge/admission_control.cpp
+++ b/src/edge/admission_control.cpp
@@ -212,7 +212,8 @@
     const auto& times = times_of(state, request.route, request.service);
     const steering::refused_caller caller{
         request.time_left,
-        milliseconds(static_cast<std::int64_t>(times.mean_ms)), min_wait,
+        milliseconds(static_cast<std::int64_t>(times.warm_ms)),
+        request.to_objective, min_wait,
         relative_rank(it->second, rank_of(request)), age_of(state, request)};
     std::uniform_real_distribution<double> spread(0, 1);
     return steering::schedule_return(
--- a/src/edge/admission_control.hpp
+++ b/src/edge/admission_control.hpp
@@ -43,8 +43,9 @@
     const steering::traffic_customer* customer = nullptr;
     const service_id& service;
     std::string_view object;
-    // Time that the caller has left.
+    // Time that the caller has left, and that left of the latency objective.
     milliseconds time_left{0};
+    milliseconds to_objective{0};
 };
 
 // Returns whether requests of the service differ in rank.
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -238,7 +238,12 @@
 
 admission_request request_flow::make_admission_request() const
 {
-    return {*route, customer, service, affinity_key, until(caller_limit)};
+    return {*route,
+            customer,
+            service,
+            affinity_key,
+            until(caller_limit),
+            until(ex->received + route->target_latency)};
 }
 
 bool request_flow::admit_rank()
--- a/src/steering/admission.cpp
+++ b/src/steering/admission.cpp
@@ -61,8 +61,11 @@
 {
     // Requests find no room at a busy server while others are free, and faulty
     // servers refuse requests. Both are no lack of room of the service.
-    if (region.admitted <= 0 || use < options.target_use)
+    if (region.admitted <= 0 || use <= 0)
         return 1 + options.max_rise;
+    if (use < options.target_use)
+        return 1 + std::clamp(options.target_use / use - 1, options.min_rise,
+                              options.max_rise);
     const auto unmet = region.unmet / region.admitted;
     if (unmet > options.fall_threshold && use >= options.full_use)
         return 1 - std::min(unmet, options.max_fall);
--- a/src/steering/admission.hpp
+++ b/src/steering/admission.hpp
@@ -56,8 +56,8 @@
     double max_rise = 0.3;
     // Requests per slot from which a level may fall, and below which it rises
     // in any case.
-    double full_use = 1.0;
-    double target_use = 0.85;
+    double full_use = 1.3;
+    double target_use = 1.0;
     // Age, as a part of the usual time limit, of a caller that has waited as
     // long as a refusal can tell.
     double full_age = 1.0 / 3;
--- a/src/steering/return_schedule.cpp
+++ b/src/steering/return_schedule.cpp
@@ -61,8 +61,11 @@
 {
     advance(schedule, now);
     const auto room = room_per_interval(schedule, options, now);
-    const auto latest = std::max(
+    const auto honoured = std::max(
         milliseconds(0), caller.time_left / honoured_part - options.answer_time);
+    const auto useful = caller.to_objective - caller.work;
+    const auto latest =
+        useful > caller.min_wait ? std::min(honoured, useful) : honoured;
     const auto reserved = caller.rank * options.reserved_by_rank +
                           (1 - caller.age) * options.reserved_by_age;
     const auto usable = room * (1 - reserved);
--- a/src/steering/wait_decision.cpp
+++ b/src/steering/wait_decision.cpp
@@ -27,20 +27,20 @@
 {
     if (chosen.queueing <= milliseconds(0))
         return;
-    // A long service time must not pass for a wait many times as long.
+    constexpr double min_factor = 0.1;
     constexpr double max_factor = 3;
     const auto wait = to_ms(chosen.queueing);
     const auto measured = static_cast<double>(latency.count()) / us_per_ms -
                           to_ms(chosen.expected - chosen.queueing);
-    const auto full = to_ms(options.full_weight_wait);
-    const auto weight =
-        std::max(options.sample_weight,
-                 1 / (options.initial_samples + correction.samples + 1)) *
-        std::min(1.0, wait / full);
-    correction.samples += std::min(1.0, wait / full);
-    correction.factor +=
-        (std::clamp(measured / wait, 0.0, max_factor) - correction.factor) *
+    const auto weight = std::min(1.0, wait / to_ms(options.full_weight_wait));
+    correction.samples += weight;
+    const auto step =
+        std::max(options.step, options.initial_step / (1 + correction.samples)) *
         weight;
+    const bool longer = measured > wait * correction.factor;
+    correction.factor =
+        std::clamp(correction.factor + (longer ? step : -step), min_factor,
+                   max_factor);
 }
 
 milliseconds expected_wait(const wait_correction& correction,
--- a/src/steering/wait_decision.hpp
+++ b/src/steering/wait_decision.hpp
@@ -13,19 +13,20 @@
 
 struct wait_options
 {
-    // Least weight of one sample in the correction, and the number of samples
-    // that the initial value counts for.
-    double sample_weight = 0.03;
-    double initial_samples = 4;
-    // Wait from which a sample has its full weight. The spread of service times
-    // hides shorter waits.
+    // Step by which one sample moves the correction. The first samples move it
+    // further, by the initial step divided by their number.
+    double step = 0.03;
+    double initial_step = 0.5;
+    // Wait from which a sample moves it by a full step. The spread of service
+    // times hides shorter waits.
     milliseconds full_weight_wait{100};
     // A request waits beyond its objective only if it would still be in time
     // for its caller if it took this many times as long as expected.
     double deadline_margin = 1.5;
 };
 
-// Measured wait for a slot relative to the expected one.
+// Measured wait for a slot relative to the expected one, as a median: a few
+// requests take many times as long as the others.
 struct wait_correction
 {
     double factor = 1;
