--- a/src/edge/admission_control.cpp
+++ b/src/edge/admission_control.cpp
@@ -114,6 +114,15 @@
     return state.admission.services.contains(service);
 }
 
+bool is_most_urgent(const traffic_state& state, const service_id& service,
+                    const steering::traffic_route& route,
+                    const steering::traffic_customer* customer)
+{
+    const auto it = state.admission.services.find(service);
+    return it != state.admission.services.end() &&
+           rank_of(route, customer) <= it->second.ranks.front();
+}
+
 void adopt_ranks(traffic_state& state)
 {
     auto& admission = state.admission;
@@ -147,11 +156,11 @@
                   });
 }
 
-steering::request_rank rank_of(const admission_request& request)
+steering::request_rank rank_of(const steering::traffic_route& route,
+                               const steering::traffic_customer* customer)
 {
-    return steering::make_rank(
-        request.customer == nullptr ? 0 : request.customer->priority,
-        request.route.priority);
+    return steering::make_rank(customer == nullptr ? 0 : customer->priority,
+                               route.priority);
 }
 
 std::optional<steering::admission_level>
@@ -174,7 +183,7 @@
     const auto place =
         steering::place_in_rank(subject, age, unix_ms, admission.options);
     auto& service = it->second;
-    if (steering::admit_request(service, rank_of(request), place,
+    if (steering::admit_request(service, rank_of(request.route, request.customer), place,
                                 admission.options, now))
         return std::nullopt;
     return steering::level_at(service.ranks, service.in_force);
@@ -212,9 +221,8 @@
     const auto& times = times_of(state, request.route, request.service);
     const steering::refused_caller caller{
         request.time_left,
-        milliseconds(static_cast<std::int64_t>(times.warm_ms)),
-        request.to_objective, min_wait,
-        relative_rank(it->second, rank_of(request)), age_of(state, request)};
+        milliseconds(static_cast<std::int64_t>(times.mean_ms)), min_wait,
+        relative_rank(it->second, rank_of(request.route, request.customer)), age_of(state, request)};
     std::uniform_real_distribution<double> spread(0, 1);
     return steering::schedule_return(
         state.admission.returns[request.service], caller, spread(state.rng),
--- a/src/edge/admission_control.hpp
+++ b/src/edge/admission_control.hpp
@@ -43,19 +43,25 @@
     const steering::traffic_customer* customer = nullptr;
     const service_id& service;
     std::string_view object;
-    // Time that the caller has left, and that left of the latency objective.
+    // Time that the caller has left.
     milliseconds time_left{0};
-    milliseconds to_objective{0};
 };
 
 // Returns whether requests of the service differ in rank.
 bool has_ranks(const traffic_state& state, const service_id& service);
 
+// Returns whether requests of the route and customer have the first of the
+// ranks of the service.
+bool is_most_urgent(const traffic_state& state, const service_id& service,
+                    const steering::traffic_route& route,
+                    const steering::traffic_customer* customer);
+
 // Derives the ranks of the services from the configuration, if it has changed.
 void adopt_ranks(traffic_state& state);
 
 // Returns the rank of the request.
-steering::request_rank rank_of(const admission_request& request);
+steering::request_rank rank_of(const steering::traffic_route& route,
+                               const steering::traffic_customer* customer);
 
 // Counts the request and returns the level that refuses it; nullopt if it is
 // admitted. `unix_ms` is the wall time, which instances need to agree on to
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -238,12 +238,7 @@
 
 admission_request request_flow::make_admission_request() const
 {
-    return {*route,
-            customer,
-            service,
-            affinity_key,
-            until(caller_limit),
-            until(ex->received + route->target_latency)};
+    return {*route, customer, service, affinity_key, until(caller_limit)};
 }
 
 bool request_flow::admit_rank()
@@ -759,7 +754,7 @@
             << " queue=" << rank.queue_factor << " warm=" << rank.warm << " rank="
             << (route == nullptr
                     ? "-"
-                    : steering::to_string(rank_of(make_admission_request())))
+                    : steering::to_string(rank_of(*route, customer)))
             << (return_at ? " return_ms=" +
                                 std::to_string(return_at->after.count()) +
                                 " return_in_time=" +
--- a/src/edge/server_placement.cpp
+++ b/src/edge/server_placement.cpp
@@ -215,7 +215,9 @@
                placed.server->slots,
                times_of(state, request.route, request.service),
                {request.time_left, request.caller_time_left,
-                request.route.target_latency},
+                request.route.target_latency,
+                is_most_urgent(state, request.service, request.route,
+                               request.customer)},
                state.admission.wait_options);
 }
 
--- a/src/steering/return_schedule.cpp
+++ b/src/steering/return_schedule.cpp
@@ -48,6 +48,35 @@
     return rate * options.return_part * span.count();
 }
 
+// Intervals among which a place is looked for, and the callers for which each
+// has room.
+struct interval_range
+{
+    std::int64_t begin;
+    std::int64_t end;
+    double room;
+};
+
+// Returns the first interval with a free place, or the end of the range. At a
+// low rate an interval has room for a fraction of a caller, so a place is free
+// if all callers up to it have room together.
+std::int64_t find_place(const return_schedule& schedule,
+                        const interval_range& range)
+{
+    double told = 0;
+    double places = 0;
+    for (auto it = schedule.first; it < range.end; ++it)
+    {
+        const auto here = schedule.told[place_of(it)];
+        told += here;
+        places += range.room;
+        if (it >= range.begin && told + 1 <= places &&
+            here < std::max(1.0, range.room))
+            return it;
+    }
+    return range.end;
+}
+
 } // namespace
 
 void count_placed(return_schedule& schedule)
@@ -63,39 +92,24 @@
     const auto room = room_per_interval(schedule, options, now);
     const auto honoured = std::max(
         milliseconds(0), caller.time_left / honoured_part - options.answer_time);
-    const auto useful = caller.to_objective - caller.work;
-    const auto latest =
-        useful > caller.min_wait ? std::min(honoured, useful) : honoured;
     const auto reserved = caller.rank * options.reserved_by_rank +
                           (1 - caller.age) * options.reserved_by_age;
-    const auto usable = room * (1 - reserved);
-    const auto begin = interval_of(now + caller.min_wait);
-    const auto end =
-        std::min(interval_of(now + latest),
+    const interval_range range{
+        interval_of(now + caller.min_wait),
+        std::min(interval_of(now + honoured),
                  schedule.first +
-                     static_cast<std::int64_t>(return_schedule::intervals) - 1);
-    // At a low rate an interval has room for a fraction of a caller, so a place
-    // is free if all callers up to it have room together.
-    double told = 0;
-    double places = 0;
-    auto chosen = end;
-    for (auto it = schedule.first; it < end && chosen == end; ++it)
-    {
-        const auto here = schedule.told[place_of(it)];
-        told += here;
-        places += usable;
-        if (it >= begin && told + 1 <= places && here < std::max(1.0, usable))
-            chosen = it;
-    }
+                     static_cast<std::int64_t>(return_schedule::intervals) - 1),
+        room * (1 - reserved)};
+    const auto chosen = find_place(schedule, range);
     ++schedule.told[place_of(chosen)];
     const auto at = time_point(chosen * return_schedule::interval) +
                     std::chrono::duration_cast<milliseconds>(
                         return_schedule::interval * spread);
-    return_time found{latest, false};
-    if (chosen != end)
+    return_time found{honoured, false};
+    if (chosen != range.end)
         found.after =
             std::clamp(std::chrono::duration_cast<milliseconds>(at - now),
-                       std::min(caller.min_wait, latest), latest);
+                       std::min(caller.min_wait, honoured), honoured);
     found.in_time = caller.time_left - found.after >= caller.work;
     return found;
 }
--- a/src/steering/return_schedule.hpp
+++ b/src/steering/return_schedule.hpp
@@ -52,8 +52,6 @@
     milliseconds time_left{0};
     // Usual time of its request, once it is placed.
     milliseconds work{0};
-    // Time left of the latency objective.
-    milliseconds to_objective{0};
     // Time after which there may be room.
     milliseconds min_wait{0};
     // Its rank among all ranks of the service and its age, from 0 to 1 each; 0
@@ -74,9 +72,8 @@
 
 // Returns when the caller may return and counts it there. `spread` places it
 // within its interval and is from 0 to 1. Callers honour a third of the time
-// that they have left at most. A caller that can still meet its objective is
-// told a time that allows that, since a later one serves it little. If no place
-// is free until then, the latest such time is returned.
+// that they have left at most; if no place is free until then, the latest time
+// that they honour is returned.
 return_time schedule_return(return_schedule& schedule,
                             const refused_caller& caller, double spread,
                             const return_options& options, time_point now);
--- a/src/steering/wait_decision.cpp
+++ b/src/steering/wait_decision.cpp
@@ -37,10 +37,12 @@
     const auto step =
         std::max(options.step, options.initial_step / (1 + correction.samples)) *
         weight;
+    // Steps of 3 to 1 converge to the 75% quantile.
+    constexpr double up = 1.5;
+    constexpr double down = 0.5;
     const bool longer = measured > wait * correction.factor;
-    correction.factor =
-        std::clamp(correction.factor + (longer ? step : -step), min_factor,
-                   max_factor);
+    correction.factor += longer ? step * up : -step * down;
+    correction.factor = std::clamp(correction.factor, min_factor, max_factor);
 }
 
 milliseconds expected_wait(const wait_correction& correction,
@@ -63,6 +65,8 @@
     const auto expected = expected_time(correction, server);
     if (expected <= limits.to_objective)
         return true;
+    if (!limits.urgent)
+        return false;
     const bool in_time_for_caller =
         to_ms(expected) * options.deadline_margin <= to_ms(limits.to_deadline);
     // The request takes a slot of the ones behind it for a service time.
--- a/src/steering/wait_decision.hpp
+++ b/src/steering/wait_decision.hpp
@@ -15,7 +15,7 @@
 {
     // Step by which one sample moves the correction. The first samples move it
     // further, by the initial step divided by their number.
-    double step = 0.03;
+    double step = 0.02;
     double initial_step = 0.5;
     // Wait from which a sample moves it by a full step. The spread of service
     // times hides shorter waits.
@@ -25,8 +25,9 @@
     double deadline_margin = 1.5;
 };
 
-// Measured wait for a slot relative to the expected one, as a median: a few
-// requests take many times as long as the others.
+// Measured wait for a slot relative to the expected one, as the quantile below
+// which three of four requests are: a request that waits should be likely to
+// meet its objective, and each one that waits in vain delays others.
 struct wait_correction
 {
     double factor = 1;
@@ -39,6 +40,9 @@
     milliseconds to_objective{0};
     milliseconds to_deadline{0};
     milliseconds objective{0};
+    // Whether the request is of the most urgent rank, which may wait beyond the
+    // objective.
+    bool urgent = false;
 };
 
 // Updates the correction with the measured latency of a request that was
@@ -53,9 +57,9 @@
 milliseconds expected_time(const wait_correction& correction,
                            const ranked_server& server);
 
-// Returns whether the request may wait at the server: if it is expected to meet
-// its objective, or if it is expected to be in time for its caller and a new
-// request behind it would still meet the objective.
+// Returns whether the request may wait at the server: if it is likely to meet
+// its objective, or if it is urgent, likely to be in time for its caller, and a
+// new request behind it would still meet the objective.
 bool may_wait(const wait_correction& correction, const ranked_server& server,
               unsigned slots, const service_times& times,
               const time_limits& limits, const wait_options& options);
