--- a/src/edge/admission_control.cpp
+++ b/src/edge/admission_control.cpp
@@ -216,7 +216,8 @@
               milliseconds min_wait, time_point now)
 {
     const auto it = state.admission.services.find(request.service);
-    if (it == state.admission.services.end())
+    if (it == state.admission.services.end() ||
+        !steering::has_level(it->second))
         return std::nullopt;
     const auto& times = times_of(state, request.route, request.service);
     const steering::refused_caller caller{
--- a/src/steering/admission.cpp
+++ b/src/steering/admission.cpp
@@ -240,6 +240,11 @@
     return admitted;
 }
 
+bool has_level(const service_admission& service)
+{
+    return service.in_force < all_admitted(service);
+}
+
 void count_unmet(service_admission& service, time_point now)
 {
     ++service.counted.unmet;
@@ -252,7 +257,7 @@
 {
     const bool unmet = service.last_unmet != time_point{} &&
                        now - service.last_unmet <= options.overload_time;
-    return unmet || service.in_force < all_admitted(service) ||
+    return unmet || has_level(service) ||
            std::ranges::any_of(
                peers,
                [&](const peer_admission& it)
--- a/src/steering/admission.hpp
+++ b/src/steering/admission.hpp
@@ -172,6 +172,9 @@
                    double place, const admission_options& options,
                    time_point now);
 
+// Returns whether a level is in force that refuses requests.
+bool has_level(const service_admission& service);
+
 // Counts an admitted request that found no room in time.
 void count_unmet(service_admission& service, time_point now);
 
--- a/src/steering/return_schedule.hpp
+++ b/src/steering/return_schedule.hpp
@@ -18,7 +18,7 @@
 {
     // Part of the requests placed lately for which there is room for returning
     // callers. New callers need the rest.
-    double return_part = 0.25;
+    double return_part = 0.5;
     // Part of an interval's room that the most urgent rank alone may take, and
     // the part that callers who have waited alone may take.
     double reserved_by_rank = 0.5;
