--- a/src/edge/admission_control.cpp
+++ b/src/edge/admission_control.cpp
@@ -42,7 +42,8 @@
     return {unpack_level(report.level),
             {report.arrived / report_units_per_request,
              report.admitted / report_units_per_request,
-             report.unmet / report_units_per_request}};
+             report.unmet / report_units_per_request,
+             report.use / report_units_per_request}};
 }
 
 const std::vector<steering::peer_admission>&
@@ -103,7 +104,7 @@
          << " part=" << change.level.part
          << " arrived=" << change.region.arrived
          << " admitted=" << change.region.admitted
-         << " unmet=" << change.region.unmet << " use=" << change.use;
+         << " unmet=" << change.region.unmet << " use=" << change.region.use;
     return text.str();
 }
 
@@ -258,7 +259,8 @@
         reports.push_back({service_number(service), pack_level(it.level),
                            to_units(it.counts.arrived),
                            to_units(it.counts.admitted),
-                           to_units(it.counts.unmet)});
+                           to_units(it.counts.unmet),
+                           to_units(it.counts.use)});
     return reports;
 }
 
--- a/src/edge/fleet_view.hpp
+++ b/src/edge/fleet_view.hpp
@@ -94,10 +94,12 @@
     std::uint32_t arrived = 0;
     std::uint32_t admitted = 0;
     std::uint32_t unmet = 0;
+    // Tenths of requests per slot.
+    std::uint32_t use = 0;
 
     bool operator==(const admission_report&) const = default;
 
-    MSGPACK_DEFINE_ARRAY(service, level, arrived, admitted, unmet)
+    MSGPACK_DEFINE_ARRAY(service, level, arrived, admitted, unmet, use)
 };
 
 // State that an instance sends to all peers at a regular interval, in one
--- a/src/steering/admission.cpp
+++ b/src/steering/admission.cpp
@@ -33,7 +33,11 @@
 
 admission_counts operator+(const admission_counts& a, const admission_counts& b)
 {
-    return {a.arrived + b.arrived, a.admitted + b.admitted, a.unmet + b.unmet};
+    // Instances with few requests have few reports of the load.
+    const auto arrived = a.arrived + b.arrived;
+    const auto use =
+        arrived > 0 ? (a.use * a.arrived + b.use * b.arrived) / arrived : 0;
+    return {arrived, a.admitted + b.admitted, a.unmet + b.unmet, use};
 }
 
 // Returns the part of all requests that is admitted.
@@ -56,31 +60,32 @@
 }
 
 // Returns the part by which the admitted requests of the region change.
-double find_change(const admission_counts& region, double use,
+double find_change(const admission_counts& region,
                    const admission_options& options)
 {
     // Requests find no room at a busy server while others are free, and faulty
     // servers refuse requests. Both are no lack of room of the service.
-    if (region.admitted <= 0 || use <= 0)
+    if (region.admitted <= 0 || region.use <= 0)
         return 1 + options.max_rise;
-    if (use < options.target_use)
-        return 1 + std::clamp(options.target_use / use - 1, options.min_rise,
-                              options.max_rise);
+    if (region.use < options.target_use)
+        return 1 + std::clamp(options.target_use / region.use - 1,
+                              options.min_rise, options.max_rise);
     const auto unmet = region.unmet / region.admitted;
-    if (unmet > options.fall_threshold && use >= options.full_use)
+    if (unmet > options.fall_threshold && region.use >= options.full_use)
         return 1 - std::min(unmet, options.max_fall);
     return unmet < options.rise_threshold ? 1 + options.min_rise : 1;
 }
 
 // Ends the counts of a step. Those of a step that was much too long, because
 // the process was paused, say nothing about the present.
-void end_step(service_admission& service, std::chrono::duration<double> span)
+void end_step(service_admission& service, double use,
+              std::chrono::duration<double> span)
 {
     constexpr std::chrono::duration<double> max_span{10};
     if (span <= max_span)
         service.rates = {service.counted.arrived / span.count(),
                          service.counted.admitted / span.count(),
-                         service.counted.unmet / span.count()};
+                         service.counted.unmet / span.count(), use};
     service.counted = {};
 }
 
@@ -280,7 +285,7 @@
     if (span < std::max(step, options.min_step))
         return std::nullopt;
     service.stepped = now;
-    end_step(service, span);
+    end_step(service, use, span);
     std::vector<double> demand;
     for (auto& it : service.arrived)
         demand.push_back(measure_demand(it, options.demand_half_life, now));
@@ -292,7 +297,7 @@
     if (region.arrived > 0 && is_overloaded(service, peers, options, now))
     {
         const auto wanted =
-            part_of_all(region) * find_change(region, use, options);
+            part_of_all(region) * find_change(region, options);
         const auto own =
             std::accumulate(demand.begin(), demand.end(), 0.0);
         service.proposed = own > 0
@@ -317,7 +322,7 @@
         position = all_admitted(service);
     if (std::exchange(service.in_force, position) == position)
         return std::nullopt;
-    return level_change{level_at(service.ranks, position), region, use};
+    return level_change{level_at(service.ranks, position), region};
 }
 
 } // namespace parsleyplank::steering
--- a/src/steering/admission.hpp
+++ b/src/steering/admission.hpp
@@ -48,16 +48,17 @@
     double floor = 1.0 / 3;
     // Parts of the admitted requests without room above which the level falls
     // and below which it rises.
-    double fall_threshold = 0.05;
-    double rise_threshold = 0.01;
+    double fall_threshold = 0.1;
+    double rise_threshold = 0.02;
     // Changes of the admitted requests per step.
     double max_fall = 0.3;
     double min_rise = 0.05;
     double max_rise = 0.3;
     // Requests per slot from which a level may fall, and below which it rises
-    // in any case.
-    double full_use = 1.3;
-    double target_use = 1.0;
+    // in any case. With less than half a request waiting for each slot, those
+    // that find no room are at busy servers while others have room.
+    double full_use = 1.5;
+    double target_use = 1.2;
     // Age, as a part of the usual time limit, of a caller that has waited as
     // long as a refusal can tell.
     double full_age = 1.0 / 3;
@@ -78,6 +79,8 @@
     double admitted = 0;
     // Admitted requests that found no room in time.
     double unmet = 0;
+    // Requests per slot, running or waiting, of the service in the region.
+    double use = 0;
 };
 
 // What an instance reports of a service to the peers of its region.
@@ -112,7 +115,6 @@
 {
     admission_level level;
     admission_counts region;
-    double use = 0;
 };
 
 // Usual time limit of the callers of a route, learned as the median of the
