--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -263,7 +263,7 @@
     // A caller that gets the response of a failure does not return.
     if (!failure_response && !may_have_run)
         return_at = choose_return(context.state, make_admission_request(),
-                                  known ? wait : milliseconds(0), now());
+                                  wait, now());
     give_up(reason, return_at ? return_at->after : wait);
 }
 
--- a/src/steering/return_schedule.cpp
+++ b/src/steering/return_schedule.cpp
@@ -105,11 +105,14 @@
     const auto at = time_point(chosen * return_schedule::interval) +
                     std::chrono::duration_cast<milliseconds>(
                         return_schedule::interval * spread);
-    return_time found{honoured, false};
+    const auto min_wait = std::min(caller.min_wait, honoured);
+    return_time found;
+    found.after = min_wait + std::chrono::duration_cast<milliseconds>(
+                                 (honoured - min_wait) * spread);
     if (chosen != range.end)
         found.after =
             std::clamp(std::chrono::duration_cast<milliseconds>(at - now),
-                       std::min(caller.min_wait, honoured), honoured);
+                       min_wait, honoured);
     found.in_time = caller.time_left - found.after >= caller.work;
     return found;
 }
--- a/src/steering/return_schedule.hpp
+++ b/src/steering/return_schedule.hpp
@@ -16,9 +16,9 @@
 
 struct return_options
 {
-    // Part of the requests placed lately for which there is room for returning
-    // callers. New callers need the rest.
-    double return_part = 0.5;
+    // Room for returning callers relative to the requests placed lately. They
+    // are admitted before new callers of their rank, so all of it is theirs.
+    double return_part = 1;
     // Part of an interval's room that the most urgent rank alone may take, and
     // the part that callers who have waited alone may take.
     double reserved_by_rank = 0.5;
@@ -72,8 +72,8 @@
 
 // Returns when the caller may return and counts it there. `spread` places it
 // within its interval and is from 0 to 1. Callers honour a third of the time
-// that they have left at most; if no place is free until then, the latest time
-// that they honour is returned.
+// that they have left at most; if no place is free until then, they are spread
+// over that time.
 return_time schedule_return(return_schedule& schedule,
                             const refused_caller& caller, double spread,
                             const return_options& options, time_point now);
