--- a/src/steering/admission.cpp
+++ b/src/steering/admission.cpp
@@ -73,7 +73,9 @@
     const auto unmet = region.unmet / region.admitted;
     if (unmet > options.fall_threshold && region.use >= options.full_use)
         return 1 - std::min(unmet, options.max_fall);
-    return unmet < options.rise_threshold ? 1 + options.min_rise : 1;
+    const bool rises =
+        unmet < options.rise_threshold || region.use < options.full_use;
+    return rises ? 1 + options.min_rise : 1;
 }
 
 // Ends the counts of a step. Those of a step that was much too long, because
--- a/src/steering/admission.hpp
+++ b/src/steering/admission.hpp
@@ -55,10 +55,10 @@
     double min_rise = 0.05;
     double max_rise = 0.3;
     // Requests per slot from which a level may fall, and below which it rises
-    // in any case. With fewer requests waiting than there are slots, those that
+    // by more than the least change. With fewer requests waiting than there are slots, those that
     // find no room are at busy servers while others have room.
     double full_use = 2;
-    double target_use = 1.5;
+    double target_use = 1;
     // Age, as a part of the usual time limit, of a caller that has waited as
     // long as a refusal can tell.
     double full_age = 1.0 / 3;
--- a/test/correctness/steering_admission.cpp
+++ b/test/correctness/steering_admission.cpp
@@ -68,29 +68,29 @@
                         admitted.push_back({i, rank});
                 }
             }
-        // Which of the admitted requests find room does not depend on rank.
-        room += capacity;
-        double taken = 0;
-        const auto step = std::max<std::size_t>(1, admitted.size());
+        // At most one and a half requests wait for each slot; the others find
+        // no room. Which ones do does not depend on rank.
+        constexpr double ticks_per_request = 3;
+        const auto slots = capacity * ticks_per_request;
+        double placed = 0;
+        const auto count = std::max<std::size_t>(1, admitted.size());
         for (std::size_t i = 0; i < admitted.size(); ++i)
         {
-            const auto& it = admitted[(i * 7 + number) % step];
-            if (taken + 1 > room)
+            const auto& it = admitted[(i * 7 + number) % count];
+            if (waiting + 1 > slots * max_waiting + capacity)
             {
                 count_unmet(instances[it.instance], now);
                 continue;
             }
-            ++taken;
+            ++waiting;
+            ++placed;
             ++served[it.rank];
             ++served_at[it.instance][it.rank];
         }
-        room = std::min(room - taken, capacity);
-        // Slots and queues are full while requests find no room. Reports are
-        // averaged over about a second.
-        const auto current = taken < static_cast<double>(admitted.size())
-                                 ? 2.5
-                                 : taken / capacity;
-        use += (current - use) / 10;
+        waiting = std::max(0.0, waiting - capacity);
+        const auto busy = waiting > 0 ? 1 : placed / capacity;
+        // Reports of the servers are averaged over half a second.
+        use += (busy + waiting / slots - use) / 5;
         exchange();
     }
 
@@ -142,7 +142,8 @@
     std::uint64_t digests = 0;
     std::uint64_t lose_every = 0;
     bool cut = false;
-    double room = 0;
+    static constexpr double max_waiting = 1.5;
+    double waiting = 0;
     double use = 0;
     std::vector<double> credit;
     std::vector<double> asked;
