--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -165,7 +165,7 @@
                     [this](store_worker::job work)
                     { return worker->submit(std::move(work)); },
                     [this](const member_record& peer, const std::string& bytes)
-                    { send_to(peer, bytes); },
+                    { send_to(peer, bytes, telemetry::peer_message::usage); },
                     lease},
         counters);
 }
@@ -925,7 +925,8 @@
                          applied_revision,
                          {},
                          {},
-                         make_limit_reports(report.limits, now())};
+                         make_limit_reports(report.limits, now()),
+                         make_admission_reports(report.admission)};
     for (const auto& [service, rollout] : rollouts)
     {
         if (!rollout.order)
@@ -1021,6 +1022,8 @@
 void control_plane::process_report(const traffic_report& report)
 {
     options.fleet.digest_interval = current_digest_interval();
+    for (const auto& it : report.level_changes)
+        LOG4CPLUS_INFO(log, "event=admission_level" << it);
     reload_if_changed();
     renew_registration();
     remove_expired_peers(fleet, options.fleet, now());
@@ -1199,6 +1202,7 @@
     update_servers(*next);
     add_rates(*next);
     add_limits(*next, fleet, options.fleet, now());
+    add_admission(*next, fleet, self.region, options.fleet, now());
     traffic.publish(std::move(next));
 }
 
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -122,10 +122,11 @@
         header_value(ex->request, context.platform.headers.time_left_ms));
     deadline = ex->received + route->timeout;
     answer_by = deadline + deadline_grace;
+    caller_limit = deadline;
     if (!given || *given < 0)
         return;
     // The caller waits no longer than the time in its header.
-    const auto caller_limit = ex->received + milliseconds(*given);
+    caller_limit = ex->received + milliseconds(*given);
     deadline = std::min(deadline, caller_limit);
     answer_by = std::min(answer_by, caller_limit - answer_margin);
 }
@@ -246,15 +247,46 @@
     add_own(context.state.tokens, customer_number(customer->id), 1);
 }
 
+admission_request request_flow::make_admission_request() const
+{
+    return {*route, customer, service, affinity_key, until(caller_limit)};
+}
+
+bool request_flow::admit_rank()
+{
+    const auto unix_ms = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    const auto level = refuse_by_rank(context.state, make_admission_request(),
+                                      unix_ms.count(), now());
+    if (!level)
+        return true;
+    last_detail = "level " + steering::to_string(level->boundary) + " part " +
+                  std::to_string(level->part);
+    refuse_for_room(refusal_reason::admission_level, std::nullopt);
+    return false;
+}
+
+void request_flow::refuse_for_room(refusal_reason reason,
+                                   std::optional<milliseconds> known)
+{
+    const auto wait =
+        std::min(max_retry_after, known.value_or(default_retry_after));
+    // A caller that gets the response of a failure does not return.
+    if (!failure_response && !may_have_run)
+        return_at =
+            choose_return(context.state, make_admission_request(), wait, now());
+    give_up(reason, return_at ? return_at->after : wait);
+}
+
 placement_request request_flow::make_placement_request() const
 {
     const auto waited =
         std::chrono::duration_cast<milliseconds>(now() - ex->received);
     const auto must_end_within =
         idempotent() ? std::nullopt : std::optional(remaining());
-    return {*route,         customer, service,
-            affinity_key,   tried,    route->target_latency - waited,
-            must_end_within};
+    return {*route,          customer,   service,
+            affinity_key,    tried,      route->target_latency - waited,
+            must_end_within, remaining()};
 }
 
 bool request_flow::would_be_cut_off(const server_placement& placed) const
@@ -289,9 +321,10 @@
     rank = decision.rank;
     if (!decision.placed)
     {
-        give_up(sends > 0 ? refusal_reason::backend_shed : decision.reason,
-                std::min(max_retry_after,
-                         decision.retry_after.value_or(default_retry_after)));
+        note_unmet(context.state, service, now());
+        refuse_for_room(sends > 0 ? refusal_reason::backend_shed
+                                  : decision.reason,
+                        decision.retry_after);
         return std::nullopt;
     }
     if (would_be_cut_off(*decision.placed))
@@ -300,6 +333,7 @@
         return std::nullopt;
     }
     confirm_placement(context.state, *decision.placed, now());
+    note_placed(context.state, service);
     return decision.placed;
 }
 
@@ -346,6 +380,8 @@
         if (flow && flow->race)
             flow->race->cancel();
     };
+    if (!admit_rank())
+        co_return;
     count_send(context.state, service);
     auto step = next_step::try_again;
     while (step == next_step::try_again && !ex->cancelled)
@@ -605,6 +641,8 @@
                                    learned.latency, state.options.ranking);
     count_result(state, *placed.server, false, slow);
     steering::record_object(load, object, retention_of(state, service), now());
+    if (!placed.cold)
+        note_wait(state, service, placed.rank, result.latency);
     if (learned.change)
         log_limit(placed, *learned.change);
     steering::record_size(
@@ -677,7 +715,16 @@
         last_detail = "refused with " + std::to_string(status);
         if (may_retry(retry_reason::backend_shed, true))
             return next_step::try_again;
-        give_up(refusal_reason::backend_shed);
+        // A faulty server may refuse requests with slots free.
+        const auto report =
+            read_load(context.platform.headers, result.response);
+        if (report && report->running < report->slots)
+        {
+            give_up(refusal_reason::backend_shed);
+            return next_step::done;
+        }
+        note_unmet(context.state, service, now());
+        refuse_for_room(refusal_reason::backend_shed, std::nullopt);
         return next_step::done;
     }
     if (status >= first_server_error && idempotent() &&
@@ -757,8 +804,9 @@
     if (retry_after > milliseconds(0))
     {
         constexpr double ms_per_s = 1'000;
+        // A place in the order of return is spread already.
         std::uniform_int_distribution<std::int64_t> spread(
-            0, retry_after_jitter.count());
+            0, return_at ? 0 : retry_after_jitter.count());
         const auto ms = retry_after.count() + spread(context.state.rng);
         std::array<char, 32> buf{};
         const auto n = std::snprintf(buf.data(), buf.size(), "%.3f",
@@ -839,7 +887,15 @@
             << " expected_ms=" << rank.expected.count()
             << " queue=" << rank.queue_factor << " warm=" << rank.warm
             << " limit=" << rank.limit << " pace=" << rank.pace
-            << " calls=" << calls.size()
+            << " calls=" << calls.size() << " rank="
+            << (route == nullptr
+                    ? "-"
+                    : steering::to_string(rank_of(*route, customer)))
+            << (return_at
+                    ? " return_ms=" + std::to_string(return_at->after.count()) +
+                          " return_in_time=" +
+                          std::to_string(int(return_at->in_time))
+                    : "")
             << " config=" << (routing ? routing->config->version.value : 0)
             << " state_age_ms=" << state_age.count()
             << (last_detail.empty() ? "" : " detail=\"" + last_detail + "\""));
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -60,6 +60,13 @@
     proxy::asio::awaitable<std::optional<bool>> request_token();
     proxy::asio::awaitable<bool> request_token_elsewhere();
     void return_token();
+    // Refuses the request if its rank is not admitted. Returns whether it is.
+    bool admit_rank();
+    admission_request make_admission_request() const;
+    // Refuses the request for lack of room; `known` is the time after which
+    // there is room, if a server has named it.
+    void refuse_for_room(refusal_reason reason,
+                         std::optional<milliseconds> known);
     // Returns whether the API keys known here are recent enough to be accepted.
     bool keys_fresh() const;
     void set_deadline();
@@ -132,6 +139,8 @@
     std::string affinity_key;
     // Deadline that is sent to backend servers.
     time_point deadline;
+    // Time until which the caller waits.
+    time_point caller_limit;
     // Latest time of the response to the caller.
     time_point answer_by;
     std::vector<backend_server_id> tried;
@@ -152,6 +161,8 @@
     // Calls of the current attempt, in the order of the race's numbers.
     std::vector<running_call> calls;
     std::shared_ptr<proxy::call_race> race;
+    // Set if the refusal tells the caller a place in the order of return.
+    std::optional<steering::return_time> return_at;
     std::string last_detail;
     // Ranking of the last choice of a server.
     steering::ranked_server rank;
--- a/src/edge/server_placement.hpp
+++ b/src/edge/server_placement.hpp
@@ -26,6 +26,8 @@
     milliseconds time_left{0};
     // Time left of the deadline, if the request must not be repeated.
     std::optional<milliseconds> must_end_within;
+    // Time that the caller has left.
+    milliseconds caller_time_left{0};
 };
 
 struct server_placement
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -17,8 +17,8 @@
 
 // Names of peer_message, in its order.
 constexpr std::array<std::string_view, enum_size(peer_message())>
-    peer_message_names{"digest", "greeting", "notice", "tokens",
-                       "relayed_changes"};
+    peer_message_names{"digest", "greeting", "notice",
+                       "tokens", "usage",    "relayed_changes"};
 
 prometheus::Family<prometheus::Counter>&
 make_counters(prometheus::Registry& registry, const std::string& name,
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -31,6 +31,8 @@
     notice,
     // Datagrams that move tokens of customers' rates.
     tokens,
+    // Datagrams that hand counts of usage to the holder of the duty.
+    usage,
     // Changes of the store, passed on over the tree of relays.
     relayed_changes
 };
