--- a/src/edge/usage_control.cpp
+++ b/src/edge/usage_control.cpp
@@ -157,6 +157,9 @@
 {
     if (usage::note_record(duty, record, boot_now()))
         log_lost("another_holder");
+    // What the former holder was told is due at once.
+    if (record.token > sender.told_token)
+        last_sent = {};
     usage::set_holder(sender, record.token, record.inherits);
 }
 
--- a/src/usage/report_ledger.cpp
+++ b/src/usage/report_ledger.cpp
@@ -104,9 +104,7 @@
     {
         const auto end = window_end(window, options.window_length);
         const bool was_observed = end - options.window_length >= ledger.began;
-        // Later windows are not closed before this one either.
-        if (now < std::min<unix_time>(ledger.began + options.settle_delay,
-                                      end + options.late - options.report_time))
+        if (now - ledger.began < options.settle_delay)
             break;
         // The counts of a window that nobody has told of may be lost.
         if (!ledger.reports.contains(window) &&
--- a/src/usage/report_ledger.hpp
+++ b/src/usage/report_ledger.hpp
@@ -35,9 +35,6 @@
     // Time after the begin of the duty in which the instances tell it again
     // what they told the former holder.
     milliseconds settle_delay{1'500};
-    // Time before its report is late in which a window is closed all the same,
-    // so that the report can be written and sent.
-    milliseconds report_time{1'000};
     // Time between two calls for one report, which doubles up to the maximum.
     milliseconds min_retry_interval{250};
     milliseconds max_retry_interval{2'000};
