--- a/src/core/reason.hpp
+++ b/src/core/reason.hpp
@@ -59,18 +59,17 @@
 };
 
 inline constexpr std::array all_refusal_reasons{
-    refusal_reason::bad_request,        refusal_reason::no_route,
-    refusal_reason::missing_key,        refusal_reason::unknown_key,
-    refusal_reason::wrong_customer,     refusal_reason::stale_state,
-    refusal_reason::customer_rate,      refusal_reason::missing_idempotency_key,
-    refusal_reason::key_reused,         refusal_reason::duplicate_in_flight,
-    refusal_reason::claim_timeout,      refusal_reason::claim_outcome_unknown,
-    refusal_reason::no_capacity,        refusal_reason::admission_level,
-    refusal_reason::link_bandwidth,
-    refusal_reason::shift_cap,          refusal_reason::draining,
-    refusal_reason::body_memory,        refusal_reason::deadline,
-    refusal_reason::backend_failed,     refusal_reason::backend_shed,
-    refusal_reason::backend_incomplete,
+    refusal_reason::bad_request,    refusal_reason::no_route,
+    refusal_reason::missing_key,    refusal_reason::unknown_key,
+    refusal_reason::wrong_customer, refusal_reason::stale_state,
+    refusal_reason::customer_rate,  refusal_reason::missing_idempotency_key,
+    refusal_reason::key_reused,     refusal_reason::duplicate_in_flight,
+    refusal_reason::claim_timeout,  refusal_reason::claim_outcome_unknown,
+    refusal_reason::no_capacity,    refusal_reason::admission_level,
+    refusal_reason::link_bandwidth, refusal_reason::shift_cap,
+    refusal_reason::draining,       refusal_reason::body_memory,
+    refusal_reason::deadline,       refusal_reason::backend_failed,
+    refusal_reason::backend_shed,   refusal_reason::backend_incomplete,
 };
 
 inline constexpr std::array all_retry_reasons{
--- a/src/edge/admission_control.cpp
+++ b/src/edge/admission_control.cpp
@@ -184,7 +184,8 @@
     const auto place =
         steering::place_in_rank(subject, age, unix_ms, admission.options);
     auto& service = it->second;
-    if (steering::admit_request(service, rank_of(request.route, request.customer), place,
+    if (steering::admit_request(service,
+                                rank_of(request.route, request.customer), place,
                                 admission.options, now))
         return std::nullopt;
     return steering::level_at(service.ranks, service.in_force);
@@ -224,11 +225,12 @@
     const steering::refused_caller caller{
         request.time_left,
         milliseconds(static_cast<std::int64_t>(times.mean_ms)), min_wait,
-        relative_rank(it->second, rank_of(request.route, request.customer)), age_of(state, request)};
+        relative_rank(it->second, rank_of(request.route, request.customer)),
+        age_of(state, request)};
     std::uniform_real_distribution<double> spread(0, 1);
-    return steering::schedule_return(
-        state.admission.returns[request.service], caller, spread(state.rng),
-        state.admission.return_options, now);
+    return steering::schedule_return(state.admission.returns[request.service],
+                                     caller, spread(state.rng),
+                                     state.admission.return_options, now);
 }
 
 void report_admission(traffic_state& state, traffic_report& report,
@@ -238,9 +240,9 @@
     for (auto& [service, it] : state.admission.services)
     {
         const auto& peers = peers_of(state, service);
-        const auto change = steering::step_admission(
-            it, peers, find_use(state, service, now),
-            state.snapshot->claim_delay, options, now);
+        const auto change =
+            steering::step_admission(it, peers, find_use(state, service, now),
+                                     state.snapshot->claim_delay, options, now);
         if (change)
             report.level_changes.push_back(describe(service, *change));
         if (steering::is_overloaded(it, peers, options, now))
@@ -259,8 +261,7 @@
         reports.push_back({service_number(service), pack_level(it.level),
                            to_units(it.counts.arrived),
                            to_units(it.counts.admitted),
-                           to_units(it.counts.unmet),
-                           to_units(it.counts.use)});
+                           to_units(it.counts.unmet), to_units(it.counts.use)});
     return reports;
 }
 
--- a/src/edge/admission_control.hpp
+++ b/src/edge/admission_control.hpp
@@ -82,8 +82,8 @@
                std::chrono::microseconds latency);
 
 // Returns when the caller, which is refused for lack of room, may return;
-// nullopt if no level of the service is in force. A queue at one server is short
-// then, and the caller may return soon.
+// nullopt if no level of the service is in force. A queue at one server is
+// short then, and the caller may return soon.
 std::optional<steering::return_time>
 choose_return(traffic_state& state, const admission_request& request,
               milliseconds min_wait, time_point now);
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -262,8 +262,8 @@
         std::min(max_retry_after, known.value_or(default_retry_after));
     // A caller that gets the response of a failure does not return.
     if (!failure_response && !may_have_run)
-        return_at = choose_return(context.state, make_admission_request(),
-                                  wait, now());
+        return_at =
+            choose_return(context.state, make_admission_request(), wait, now());
     give_up(reason, return_at ? return_at->after : wait);
 }
 
@@ -271,12 +271,8 @@
 {
     const auto waited =
         std::chrono::duration_cast<milliseconds>(now() - ex->received);
-    return {*route,
-            customer,
-            service,
-            affinity_key,
-            tried,
-            route->target_latency - waited,
+    return {*route,       customer, service,
+            affinity_key, tried,    route->target_latency - waited,
             remaining()};
 }
 
@@ -750,16 +746,16 @@
             << " reason=" << reason << " ms=" << took.count() / 1'000
             << " connection_ms=" << connection_age.count()
             << " server_ms=" << server_latency.count() / 1'000
-            << " expected_ms=" << rank.expected.count()
-            << " queue=" << rank.queue_factor << " warm=" << rank.warm << " rank="
+            << " expected_ms=" << rank.expected.count() << " queue="
+            << rank.queue_factor << " warm=" << rank.warm << " rank="
             << (route == nullptr
                     ? "-"
                     : steering::to_string(rank_of(*route, customer)))
-            << (return_at ? " return_ms=" +
-                                std::to_string(return_at->after.count()) +
-                                " return_in_time=" +
-                                std::to_string(int(return_at->in_time))
-                          : "")
+            << (return_at
+                    ? " return_ms=" + std::to_string(return_at->after.count()) +
+                          " return_in_time=" +
+                          std::to_string(int(return_at->in_time))
+                    : "")
             << " config=" << (routing ? routing->config->version.value : 0)
             << " state_age_ms=" << state_age.count()
             << (last_detail.empty() ? "" : " detail=\"" + last_detail + "\""));
--- a/src/edge/server_placement.cpp
+++ b/src/edge/server_placement.cpp
@@ -210,15 +210,14 @@
                         const server_placement& placed)
 {
     return has_ranks(state, request.service) &&
-           steering::may_wait(
-               state.admission.waits[request.service], placed.rank,
-               placed.server->slots,
-               times_of(state, request.route, request.service),
-               {request.time_left, request.caller_time_left,
-                request.route.target_latency,
-                is_most_urgent(state, request.service, request.route,
-                               request.customer)},
-               state.admission.wait_options);
+           steering::may_wait(state.admission.waits[request.service],
+                              placed.rank, placed.server->slots,
+                              times_of(state, request.route, request.service),
+                              {request.time_left, request.caller_time_left,
+                               request.route.target_latency,
+                               is_most_urgent(state, request.service,
+                                              request.route, request.customer)},
+                              state.admission.wait_options);
 }
 
 } // namespace
--- a/src/steering/admission.cpp
+++ b/src/steering/admission.cpp
@@ -136,11 +136,9 @@
     std::vector<request_rank> ranks;
     for (const auto& route : config.routes)
     {
-        if (std::ranges::none_of(route.services,
-                                 [&](const weighted_service& it) {
-                                     return it.service == service &&
-                                            it.weight > 0;
-                                 }))
+        if (std::ranges::none_of(
+                route.services, [&](const weighted_service& it)
+                { return it.service == service && it.weight > 0; }))
             continue;
         // An open route serves callers that are no customer.
         if (route.open || customers.empty())
@@ -174,9 +172,8 @@
 double admitted_part(double position, std::size_t index, double part_of_all,
                      const admission_options& options)
 {
-    return std::max(
-        std::clamp(position - static_cast<double>(index), 0.0, 1.0),
-        options.floor * part_of_all);
+    return std::max(std::clamp(position - static_cast<double>(index), 0.0, 1.0),
+                    options.floor * part_of_all);
 }
 
 double find_position(std::span<const double> demand, double wanted,
@@ -202,8 +199,8 @@
     return high;
 }
 
-double place_in_rank(std::string_view subject, double age,
-                     std::int64_t unix_ms, const admission_options& options)
+double place_in_rank(std::string_view subject, double age, std::int64_t unix_ms,
+                     const admission_options& options)
 {
     const auto turn =
         static_cast<std::uint64_t>(unix_ms / options.rotation.count());
@@ -231,16 +228,16 @@
                    double place, const admission_options& options,
                    time_point now)
 {
-    const auto i = std::min(index_of(service.ranks, rank),
-                            service.ranks.empty() ? 0
-                                                  : service.ranks.size() - 1);
+    const auto i =
+        std::min(index_of(service.ranks, rank),
+                 service.ranks.empty() ? 0 : service.ranks.size() - 1);
     if (service.ranks.empty())
         return true;
     count_demand(service.arrived[i]);
     ++service.counted.arrived;
     service.last_request = now;
-    const auto part = admitted_part(service.in_force, i,
-                                    part_of_all(service.rates), options);
+    const auto part =
+        admitted_part(service.in_force, i, part_of_all(service.rates), options);
     const bool admitted = part >= 1 || place < part;
     if (admitted)
         ++service.counted.admitted;
@@ -265,14 +262,14 @@
     const bool unmet = service.last_unmet != time_point{} &&
                        now - service.last_unmet <= options.overload_time;
     return unmet || has_level(service) ||
-           std::ranges::any_of(
-               peers,
-               [&](const peer_admission& it)
-               {
-                   return it.counts.unmet > 0 ||
-                          level_position(service.ranks, it.level) <
-                              all_admitted(service);
-               });
+           std::ranges::any_of(peers,
+                               [&](const peer_admission& it)
+                               {
+                                   return it.counts.unmet > 0 ||
+                                          level_position(service.ranks,
+                                                         it.level) <
+                                              all_admitted(service);
+                               });
 }
 
 std::optional<level_change>
@@ -298,10 +295,8 @@
     auto position = all_admitted(service);
     if (region.arrived > 0 && is_overloaded(service, peers, options, now))
     {
-        const auto wanted =
-            part_of_all(region) * find_change(region, options);
-        const auto own =
-            std::accumulate(demand.begin(), demand.end(), 0.0);
+        const auto wanted = part_of_all(region) * find_change(region, options);
+        const auto own = std::accumulate(demand.begin(), demand.end(), 0.0);
         service.proposed = own > 0
                                ? find_position(demand, wanted * own, options)
                                : service.in_force;
--- a/src/steering/admission.hpp
+++ b/src/steering/admission.hpp
@@ -55,8 +55,9 @@
     double min_rise = 0.05;
     double max_rise = 0.3;
     // Requests per slot from which a level may fall, and below which it rises
-    // by more than the least change. With fewer requests waiting than there are slots, those that
-    // find no room are at busy servers while others have room.
+    // by more than the least change. With fewer requests waiting than there are
+    // slots, those that find no room are at busy servers while others have
+    // room.
     double full_use = 2;
     double target_use = 1;
     // Age, as a part of the usual time limit, of a caller that has waited as
@@ -163,8 +164,8 @@
 // admitted first, to 1. Depends on what all instances see alike: the subject
 // (customer, route and object), the time, and the age as a part of the usual
 // time limit, from 0 to 1.
-double place_in_rank(std::string_view subject, double age,
-                     std::int64_t unix_ms, const admission_options& options);
+double place_in_rank(std::string_view subject, double age, std::int64_t unix_ms,
+                     const admission_options& options);
 
 // Replaces the ranks; the level keeps its meaning.
 void set_ranks(service_admission& service, std::vector<request_rank> ranks);
@@ -188,8 +189,8 @@
 
 // Ends the step if it has lasted long enough: derives the level from the counts
 // of this instance and of the peers. `use` is the number of requests, running
-// or waiting, per slot of the service in this region; `step` is the time that a change needs
-// to be heard of, twice. Returns the new level if it differs.
+// or waiting, per slot of the service in this region; `step` is the time that a
+// change needs to be heard of, twice. Returns the new level if it differs.
 std::optional<level_change>
 step_admission(service_admission& service,
                std::span<const peer_admission> peers, double use,
--- a/src/steering/return_schedule.cpp
+++ b/src/steering/return_schedule.cpp
@@ -27,8 +27,8 @@
 {
     const auto current = interval_of(now);
     constexpr auto all = static_cast<std::int64_t>(return_schedule::intervals);
-    const auto passed = std::clamp<std::int64_t>(current - schedule.first, 0,
-                                                 all);
+    const auto passed =
+        std::clamp<std::int64_t>(current - schedule.first, 0, all);
     for (std::int64_t i = 0; i < passed; ++i)
         schedule.told[place_of(current - 1 - i)] = 0;
     schedule.first = std::max(schedule.first, current);
@@ -90,8 +90,9 @@
 {
     advance(schedule, now);
     const auto room = room_per_interval(schedule, options, now);
-    const auto honoured = std::max(
-        milliseconds(0), caller.time_left / honoured_part - options.answer_time);
+    const auto honoured =
+        std::max(milliseconds(0),
+                 caller.time_left / honoured_part - options.answer_time);
     const auto reserved = caller.rank * options.reserved_by_rank +
                           (1 - caller.age) * options.reserved_by_age;
     const interval_range range{
--- a/src/steering/wait_decision.cpp
+++ b/src/steering/wait_decision.cpp
@@ -34,9 +34,9 @@
                           to_ms(chosen.expected - chosen.queueing);
     const auto weight = std::min(1.0, wait / to_ms(options.full_weight_wait));
     correction.samples += weight;
-    const auto step =
-        std::max(options.step, options.initial_step / (1 + correction.samples)) *
-        weight;
+    const auto step = std::max(options.step, options.initial_step /
+                                                 (1 + correction.samples)) *
+                      weight;
     // Steps of 3 to 1 converge to the 75% quantile.
     constexpr double up = 1.5;
     constexpr double down = 0.5;
--- a/test/correctness/steering_admission.cpp
+++ b/test/correctness/steering_admission.cpp
@@ -282,8 +282,8 @@
         CPPUNIT_ASSERT(all.part(2) > 0.9);
         settle(all, calm, 120, 10);
         CPPUNIT_ASSERT_EQUAL(3.0, all.instances[0].in_force);
-        CPPUNIT_ASSERT(!is_overloaded(all.instances[0], {}, all.options,
-                                      all.now));
+        CPPUNIT_ASSERT(
+            !is_overloaded(all.instances[0], {}, all.options, all.now));
     }
 
     void without_overload_all_are_admitted()
@@ -330,8 +330,7 @@
         set_ranks(service, {{0, 0}, {0, 1}});
         CPPUNIT_ASSERT_EQUAL(2.0, service.in_force);
         // A peer's level of a rank that is unknown here lies between others.
-        CPPUNIT_ASSERT_EQUAL(
-            2.0, level_position(three_ranks, {{0, 7}, 0.5}));
+        CPPUNIT_ASSERT_EQUAL(2.0, level_position(three_ranks, {{0, 7}, 0.5}));
     }
 
     void ranks_are_those_of_the_routes_and_customers()
--- a/test/failure/edge_admission_exchange.cpp
+++ b/test/failure/edge_admission_exchange.cpp
@@ -208,10 +208,9 @@
         play(3);
         CPPUNIT_ASSERT_EQUAL(1.0, served_part(1));
         CPPUNIT_ASSERT(report().admission.empty());
-        CPPUNIT_ASSERT(!choose_return(state,
-                                      {config.routes[1], nullptr, shop, "1",
-                                       milliseconds(3'000)},
-                                      milliseconds(0), now));
+        CPPUNIT_ASSERT(!choose_return(
+            state, {config.routes[1], nullptr, shop, "1", milliseconds(3'000)},
+            milliseconds(0), now));
     }
 
     void the_state_of_a_service_ends_with_its_ranks()
