--- a/test/correctness/steering_return_schedule.cpp
+++ b/test/correctness/steering_return_schedule.cpp
@@ -28,7 +28,7 @@
     CPPUNIT_TEST(the_time_that_a_server_has_named_is_waited_for);
     CPPUNIT_TEST_SUITE_END();
 
-    const return_options options;
+    const return_options options{};
     time_point now{std::chrono::hours(1)};
     return_schedule schedule;
 
--- a/test/correctness/steering_wait_decision.cpp
+++ b/test/correctness/steering_wait_decision.cpp
@@ -21,7 +21,7 @@
     CPPUNIT_TEST(a_request_that_its_caller_would_not_see_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
-    const wait_options options;
+    const wait_options options{};
     const milliseconds objective{500};
     wait_correction correction;
 
