--- /dev/null
+++ b/test/process/callers_pieces.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Guards against bodies of legal size, sent in small pieces, that stop just
+# short of their end, see test/callers/hostile_callers.cpp.
+set -euo pipefail
+bash "$(dirname "$0")/../callers/run_crowd.sh" pieces
--- a/test/soak/instance.cpp
+++ b/test/soak/instance.cpp
@@ -134,7 +134,8 @@
     out << "[instance]\nid = \"" << chosen.id
         << "\"\nregion = \"oslo\"\nfailure_domain = \"oslo-a\"\n"
         << "address = \"127.0.0.1\"\nmemory_mb = " << chosen.memory_mb
-        << "\nmax_descriptors = 4100\nlink_mbps = 1000.0\n[listen]\n"
+        << "\nmax_descriptors = " << chosen.max_descriptors
+        << "\nlink_mbps = 1000.0\n[listen]\n"
         << "callers = " << at(callers_offset)
         << "readiness = " << at(readiness_offset)
         << "directory = " << at(directory_offset)
@@ -296,6 +297,21 @@
     return first_port + directory_offset;
 }
 
+std::uint16_t instance::readiness_port() const
+{
+    return first_port + readiness_offset;
+}
+
+std::uint16_t instance::admin_port() const
+{
+    return first_port + admin_offset;
+}
+
+std::uint16_t instance::peer_port() const
+{
+    return first_port + peer_offset;
+}
+
 bool instance::has_refused(std::uint16_t caller_port) const
 {
     return delayed->has_refused(caller_port) || lossy->has_refused(caller_port);
--- a/test/soak/instance.hpp
+++ b/test/soak/instance.hpp
@@ -31,6 +31,7 @@
     std::string folder;
     milliseconds grace{6'000};
     int memory_mb = 260;
+    int max_descriptors = 4'100;
 };
 
 // A span in which an instance was impaired without a plan.
@@ -80,6 +81,15 @@
     std::uint16_t callers_port(path_kind path) const;
 
     std::uint16_t directory_port() const;
+    std::uint16_t readiness_port() const;
+    std::uint16_t admin_port() const;
+    // Port of the messages between instances, over TCP.
+    std::uint16_t peer_port() const;
+
+    pid_t process_id() const
+    {
+        return pid;
+    }
 
     // Returns whether a connection from this port did not reach the process.
     bool has_refused(std::uint16_t caller_port) const;
