--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -520,8 +520,6 @@
     if (status == status_misdirected)
         return steering::request_result::bad;
     record_notice(placed, result);
-    if (refused && report)
-        learn_from_refusal(state, *placed.server, *report, now());
     if (refused)
         return report && report->running < report->slots
                    ? steering::request_result::bad
--- a/src/edge/server_capacity_state.cpp
+++ b/src/edge/server_capacity_state.cpp
@@ -131,14 +131,4 @@
     return learned;
 }
 
-void learn_from_refusal(traffic_state& state,
-                        const steering::backend_server& server,
-                        const steering::reported_load& report, time_point now)
-{
-    steering::record_refusal(state.loads[server.id].capacity,
-                             state.capacities[server.service],
-                             {report.running, report.waiting, report.slots, 1},
-                             state.options.capacity, now);
-}
-
 } // namespace parsleyplank::edge
--- a/src/edge/server_capacity_state.hpp
+++ b/src/edge/server_capacity_state.hpp
@@ -61,11 +61,6 @@
                                      const served_request& served,
                                      time_point now);
 
-// Updates the limits after a server has refused a request for lack of room.
-void learn_from_refusal(traffic_state& state,
-                        const steering::backend_server& server,
-                        const steering::reported_load& report, time_point now);
-
 } // namespace parsleyplank::edge
 
 #endif
--- a/src/steering/server_capacity.cpp
+++ b/src/steering/server_capacity.cpp
@@ -167,24 +167,6 @@
     return after;
 }
 
-void record_refusal(server_capacity& capacity, service_capacity& service,
-                    const capacity_sample& sample,
-                    const capacity_options& options, time_point now)
-{
-    // A server that refuses at its slots confirms what it reports.
-    if (sample.running >= sample.slots)
-        return;
-    const auto record = [&](learned_limit& limit)
-    {
-        const auto requests = decayed(limit, options, now).part * sample.slots;
-        // The server does run as many as it reports.
-        if (sample.running + 1 >= requests && requests > sample.running)
-            move_limit(limit, sample, true, options, now);
-    };
-    record(capacity.limit);
-    record(service.limit);
-}
-
 double limit_of(const server_capacity& capacity,
                 const service_capacity& service, double slots,
                 const capacity_options& options, time_point now)
--- a/src/steering/server_capacity.hpp
+++ b/src/steering/server_capacity.hpp
@@ -153,12 +153,6 @@
                                     const capacity_options& options,
                                     time_point now);
 
-// Updates the limits after the server has refused a request for lack of room.
-// A refusal below the limit is a failure of the server and not recorded.
-void record_refusal(server_capacity& capacity, service_capacity& service,
-                    const capacity_sample& sample,
-                    const capacity_options& options, time_point now);
-
 // Returns the number of concurrent requests that the server takes well: a whole
 // number from 1 to its slots.
 double limit_of(const server_capacity& capacity,
