Bound what callers can make an instance hold

Callers could take any memory and any number of descriptors: fields of waiting requests, half-read heads, records of unreceived responses and connections to servers were not counted, and the service and peer listeners had 64 MB for bodies each. Each listener now has a share of the memory, charged with what things cost; a connection that holds much is not read, one that owes most gives way, and then requests are refused with 503 before they are handed on. Connections to servers are bounded together with those of callers.

--- a/apps/parsleyplank-edge/main.cpp
+++ b/apps/parsleyplank-edge/main.cpp
@@ -7,6 +7,7 @@
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/edge/control_plane.hpp>
 
+#include <malloc.h>
 #include <platform/adapter.hpp>
 #include <platform/platform_store.hpp>
 #include <tclap/CmdLine.h>
@@ -26,6 +27,11 @@
 constexpr milliseconds store_silence_timeout{3'000};
 constexpr milliseconds store_call_timeout{1'500};
 
+// Size in bytes from which memory goes back to the system when it is released.
+// By default the allocator raises it with each large body that it releases, and
+// bodies then leave gaps that small blocks keep open.
+constexpr int mapped_block_bytes = 131'072;
+
 std::unique_ptr<store::lease_store> open_store(const edge::settings& config)
 {
     store::http_settings where;
@@ -80,6 +86,7 @@
 
 int main(int argc, char** argv)
 {
+    mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
     try
     {
         TCLAP::CmdLine cmd("Instance of the parsleyplank traffic steering "
--- a/src/core/close_reason.cpp
+++ b/src/core/close_reason.cpp
@@ -19,6 +19,8 @@
         return "close_timeout";
     case close_reason::displaced:
         return "displaced";
+    case close_reason::memory:
+        return "memory";
     case close_reason::stop:
         return "stop";
     case close_reason::internal_error:
--- a/src/core/close_reason.hpp
+++ b/src/core/close_reason.hpp
@@ -22,6 +22,8 @@
     close_timeout,
     // Room was needed for another connection.
     displaced,
+    // Its memory was needed for other callers.
+    memory,
     // The instance accepts no more connections.
     stop,
     // Reading or writing failed in an unforeseen way.
--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -110,7 +110,7 @@
     confirmation.pauses.max_gap = contact_timeout(config.bounds);
     relay_listener = std::make_unique<proxy::front_listener>(
         io, steering::server_endpoint{config.address, config.peer_port},
-        proxy::front_options{},
+        peer_options(config),
         [this](const proxy::exchange_ptr& ex) { relay.serve(ex, now()); });
     const auto post = [this](auto call)
     {
--- a/src/edge/descriptor_shares.hpp
+++ b/src/edge/descriptor_shares.hpp
@@ -17,6 +17,10 @@
     std::size_t callers = 0;
     // Connections to each of the directory, the health check and the metrics.
     std::size_t each_service = 0;
+    // Connections of peers that relay changes of the store.
+    std::size_t peers = 0;
+    // Connections to backend servers. What callers do not use is added.
+    std::size_t servers = 0;
     // Idle connections to backend servers.
     std::size_t idle_servers = 0;
 };
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -1,8 +1,8 @@
 #include <parsleyplank/core/log.hpp>
-#include <parsleyplank/edge/descriptor_shares.hpp>
 #include <parsleyplank/edge/traffic_plane.hpp>
 
 #include <algorithm>
+#include <array>
 #include <log4cplus/loggingmacros.h>
 
 namespace parsleyplank::edge
@@ -24,54 +24,6 @@
 // Delay in reading from callers from which it is logged. They give up a request
 // that is not read for a second.
 constexpr milliseconds reported_delay{100};
-// Divisor of the process's memory that gives the limit on bodies.
-constexpr std::size_t body_memory_divisor = 4;
-constexpr std::size_t bytes_per_mb = 1'000'000;
-
-std::shared_ptr<proxy::body_budget> make_body_budget(const settings& config)
-{
-    return std::make_shared<proxy::body_budget>(
-        static_cast<std::size_t>(config.memory_mb) * bytes_per_mb /
-        body_memory_divisor);
-}
-
-descriptor_shares shares_for(const settings& config)
-{
-    return share_descriptors(
-        config.max_descriptors > 0
-            ? static_cast<std::size_t>(config.max_descriptors)
-            : system_descriptor_limit());
-}
-
-proxy::upstream_options
-server_options(const settings& config,
-               const std::shared_ptr<proxy::body_budget>& bodies)
-{
-    proxy::upstream_options options;
-    options.bodies = bodies;
-    options.idle_total = shares_for(config).idle_servers;
-    return options;
-}
-
-proxy::front_options
-caller_options(const settings& config,
-               const std::shared_ptr<proxy::body_budget>& bodies,
-               const std::shared_ptr<const proxy::loop_monitor>& monitor)
-{
-    proxy::front_options options;
-    options.monitor = monitor;
-    options.bodies = bodies;
-    options.max_connections = shares_for(config).callers;
-    return options;
-}
-
-// Returns the options of the directory, the health check and the metrics.
-proxy::front_options service_options(const settings& config)
-{
-    proxy::front_options options;
-    options.max_connections = shares_for(config).each_service;
-    return options;
-}
 
 steering::server_endpoint token_endpoint(const settings& config)
 {
@@ -90,8 +42,8 @@
     : platform(adapted), counters(metrics), io(1),
       work(proxy::asio::make_work_guard(io)),
       monitor(std::make_shared<const proxy::loop_monitor>(io)),
-      bodies(make_body_budget(config)),
-      pool(io, server_options(config, bodies)),
+      limits(make_caller_shares(config)),
+      pool(io, server_options(config, limits)),
       token_peers(io, token_endpoint(config), make_token_handlers()),
       context{state,       platform, pool,
               token_peers, counters, component_logger("traffic")},
@@ -111,8 +63,9 @@
             [this, handler](const proxy::exchange_ptr& ex)
             { (this->*handler)(ex); }));
     };
-    listen(config.callers, caller_options(config, bodies, monitor),
-           &traffic_plane::serve_request);
+    auto caller_front = caller_options(config, limits);
+    caller_front.monitor = monitor;
+    listen(config.callers, caller_front, &traffic_plane::serve_request);
     listen(config.directory, service_options(config),
            &traffic_plane::serve_directory);
     listen(config.readiness, service_options(config),
@@ -321,6 +274,7 @@
     set("postponed_accepts", counts.postponed_accepts);
     set("idle_callers_closed", counts.closed_for_others);
     set("callers_refused", counts.refused);
+    report_limits();
     set("requests_cut_off_unanswered", front.cut().unanswered);
     set("requests_cut_off_unreceived", front.cut().unreceived);
     const auto accept_failing = front.accept_failing_time();
@@ -339,6 +293,50 @@
     reported = counts;
 }
 
+void traffic_plane::report_limits()
+{
+    const std::array names{"callers", "directory", "readiness", "admin"};
+    proxy::memory_counts sum;
+    for (std::size_t n = 0; n < listeners.size(); ++n)
+    {
+        const auto& counts = listeners[n]->memory();
+        const auto set = [&](const char* name, std::uint64_t value)
+        {
+            counters.set(name, "listener", names.at(n),
+                         static_cast<double>(value));
+        };
+        set("requests_refused_for_header_memory", counts.refused_headers);
+        set("requests_refused_for_body_memory", counts.refused_bodies);
+        set("connections_closed_for_memory", counts.closed);
+        set("connections_paused_for_memory", counts.paused);
+        sum.refused_headers += counts.refused_headers;
+        sum.refused_bodies += counts.refused_bodies;
+        sum.closed += counts.closed;
+        sum.paused += counts.paused;
+    }
+    const auto set = [this](const char* name, std::size_t value)
+    {
+        counters.set(name, "", "", static_cast<double>(value));
+    };
+    set("caller_memory_bytes", limits.callers->used());
+    set("body_memory_bytes", limits.bodies->used());
+    set("server_connections", limits.descriptors->servers);
+    if (sum.refused_headers > reported_memory.refused_headers ||
+        sum.refused_bodies > reported_memory.refused_bodies ||
+        sum.closed > reported_memory.closed)
+        LOG4CPLUS_WARN(
+            context.log,
+            "event=callers_limited refused_headers="
+                << sum.refused_headers - reported_memory.refused_headers
+                << " refused_bodies="
+                << sum.refused_bodies - reported_memory.refused_bodies
+                << " closed=" << sum.closed - reported_memory.closed
+                << " paused=" << sum.paused - reported_memory.paused
+                << " memory_bytes=" << limits.callers->used()
+                << " body_bytes=" << limits.bodies->used());
+    reported_memory = sum;
+}
+
 void traffic_plane::sweep()
 {
     pool.sweep();
--- a/src/edge/traffic_plane.hpp
+++ b/src/edge/traffic_plane.hpp
@@ -5,6 +5,7 @@
 // readiness check of this instance and for its metrics, and the requests in
 // flight.
 
+#include <parsleyplank/edge/front_limits.hpp>
 #include <parsleyplank/edge/request_flow.hpp>
 #include <parsleyplank/proxy/front_listener.hpp>
 
@@ -59,6 +60,8 @@
     void sweep();
     // Reports the load of the event loop and of the listener for callers.
     void report_load();
+    // Reports what was done for lack of memory.
+    void report_limits();
 
     const adapter& platform;
     telemetry::metrics& counters;
@@ -67,8 +70,7 @@
         work;
     std::shared_ptr<const proxy::loop_monitor> monitor;
     traffic_state state;
-    // Memory for the bodies of callers' requests and of their responses.
-    std::shared_ptr<proxy::body_budget> bodies;
+    caller_shares limits;
     proxy::upstream_pool pool;
     token_exchange token_peers;
     flow_context context;
@@ -76,6 +78,7 @@
     proxy::asio::steady_timer token_timer;
     // What was last reported of the connections of callers.
     proxy::connection_counts reported;
+    proxy::memory_counts reported_memory;
     std::vector<std::unique_ptr<proxy::front_listener>> listeners;
     std::thread thread;
 };
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -21,6 +21,14 @@
 // descriptors: other instances are likely to have some.
 constexpr const char* overload_retry_after_s = "0.5";
 
+// Number of bytes of a header after which the memory of its fields is counted
+// anew: counting looks at all of them.
+constexpr std::size_t counted_header_bytes = 1'024;
+
+// Interval at which a connection with too many unreceived responses is checked:
+// nothing tells when the caller has received them.
+constexpr milliseconds unreceived_interval{20};
+
 // Returns a completion token that stores the error code instead of throwing it.
 auto store_error(error_code& ec)
 {
@@ -54,6 +62,9 @@
 front_connection::front_connection(tcp::socket connected,
                                    std::shared_ptr<front_shared> shared_state)
     : socket(std::move(connected)), shared(std::move(shared_state)),
+      held(
+          shared->options.memory, shared->options.memory->limit(),
+          [this] { give_way(); }, [this] { return may_give_way(); }),
       writer_signal(socket.get_executor()),
       reader_signal(socket.get_executor()), connection_start(now()),
       activity_start(connection_start)
@@ -61,6 +72,8 @@
     writer_signal.expires_at(time_point::max());
     reader_signal.expires_at(time_point::max());
     ++shared->open_connections;
+    ++shared->options.descriptors->callers;
+    charge_held();
 }
 
 front_connection::~front_connection()
@@ -88,6 +101,7 @@
 {
     current_activity = next;
     activity_start = now();
+    received = 0;
 }
 
 void front_connection::close(close_reason reason)
@@ -102,6 +116,8 @@
     if (!backlog.responses.empty())
         discard_unread(socket.native_handle());
     --shared->open_connections;
+    --shared->options.descriptors->callers;
+    held.keep();
     error_code ec;
     // The error is ignored: the descriptor is released in any case.
     socket.close(ec);
@@ -261,7 +277,7 @@
 }
 
 void front_connection::accept_request(request_message request,
-                                      body_reservation_ptr memory)
+                                      memory_reservation_ptr memory)
 {
     const auto ex = std::make_shared<exchange>();
     ex->connection_start = connection_start;
@@ -269,11 +285,32 @@
     ex->request = std::move(request);
     ex->request_memory = std::move(memory);
     ++shared->open_exchanges;
-    ex->on_response = [weak = weak_from_this()]
+    ex->memory_bytes = std::exchange(incoming_bytes, 0);
+    pending_bytes += ex->memory_bytes;
+    ex->on_response = [weak = weak_from_this(), added = ex.get()]
     {
         const auto self = weak.lock();
-        if (self)
-            self->writer_signal.cancel();
+        if (!self || !self->open)
+            return;
+        const auto bytes = memory_of_response(
+            *added->response, added->response_memory != nullptr);
+        added->memory_bytes += bytes;
+        // A caller that does not read does not keep the memory from others.
+        if (added->response_memory)
+            added->response_memory->offer(
+                [weak]
+                {
+                    if (const auto holder = weak.lock())
+                        holder->give_way();
+                },
+                [weak]
+                {
+                    const auto holder = weak.lock();
+                    return holder && holder->may_give_way();
+                });
+        self->pending_bytes += bytes;
+        self->charge_held();
+        self->writer_signal.cancel();
     };
     pending.push_back(ex);
     shared->handler(ex);
@@ -320,7 +357,7 @@
     if (last_request_read)
         co_return false;
     set_activity(activity::reading_header);
-    request_parser parser;
+    auto& parser = incoming.emplace();
     const auto& options = shared->options;
     parser.header_limit(static_cast<std::uint32_t>(
         std::min(options.limits.max_header_bytes, max_header_limit_bytes)));
@@ -329,16 +366,23 @@
     buffer.max_size(
         std::min(options.limits.max_header_bytes, max_header_limit_bytes) +
         max_read_ahead_bytes);
-    co_await http::async_read_header(socket, buffer, parser, store_error(ec));
-    if (last_request_read)
+    ec = co_await read_header(parser);
+    if (last_request_read || !open)
+        co_return false;
+    if (ec == asio::error::no_buffer_space)
+    {
+        ++shared->memory.refused_headers;
+        queue_error_response(503, "no memory for the request");
         co_return false;
+    }
     if (!ec && refusing)
     {
         queue_error_response(503, "too many connections");
         co_return false;
     }
-    const auto memory = std::make_shared<body_reservation>(
-        options.bodies, options.bodies->limit() / 2);
+    const auto memory = std::make_shared<memory_reservation>(
+        options.bodies, options.bodies->limit() / 2, [this] { give_way(); },
+        [this] { return may_give_way(); });
     if (!ec && !memory->resize(parser.content_length().value_or(0)))
         ec = asio::error::no_buffer_space;
     if (!ec && !parser.is_done())
@@ -354,8 +398,12 @@
         if (!ec)
             ec = co_await read_body(parser, *memory);
     }
+    memory->keep();
+    if (!open)
+        co_return false;
     if (ec == asio::error::no_buffer_space)
     {
+        ++shared->memory.refused_bodies;
         queue_error_response(503, "no memory for the request body");
         co_return false;
     }
@@ -383,16 +431,56 @@
 }
 
 asio::awaitable<error_code>
-front_connection::read_body(request_parser& parser, body_reservation& memory)
+front_connection::read_header(request_parser& parser)
+{
+    error_code ec;
+    // The parser decodes each field as soon as its line is complete.
+    std::size_t parsed = 0;
+    while (!parser.is_header_done())
+    {
+        const auto n_parsed = parser.put(buffer.data(), ec);
+        buffer.consume(n_parsed);
+        parsed += n_parsed;
+        if (parsed >= counted_header_bytes)
+        {
+            parsed = 0;
+            incoming_bytes = memory_of_request(parser.get());
+        }
+        if (ec != http::error::need_more)
+            break;
+        ec = {};
+        const auto room = std::min(
+            buffer.max_size() - buffer.size(),
+            std::max(buffer.capacity() - buffer.size(), read_chunk_bytes));
+        if (room == 0)
+            co_return http::error::buffer_overflow;
+        const auto n = co_await socket.async_read_some(buffer.prepare(room),
+                                                       store_error(ec));
+        if (ec)
+            co_return ec;
+        buffer.commit(n);
+        received += n;
+        if (!reserve_held())
+            co_return asio::error::no_buffer_space;
+    }
+    if (ec)
+        co_return ec;
+    incoming_bytes = memory_of_request(parser.get());
+    co_return reserve_held() ? error_code() : asio::error::no_buffer_space;
+}
+
+asio::awaitable<error_code>
+front_connection::read_body(request_parser& parser, memory_reservation& memory)
 {
     error_code ec;
     while (!ec && !parser.is_done())
     {
-        if (!reserve_room(parser.get().body(), buffer.capacity(), memory))
+        if (!reserve_room(parser.get().body(), buffer.capacity(), memory) ||
+            !reserve_held())
             ec = asio::error::no_buffer_space;
         else
-            co_await http::async_read_some(socket, buffer, parser,
-                                           store_error(ec));
+            received += co_await http::async_read_some(socket, buffer, parser,
+                                                       store_error(ec));
     }
     // Connections stay open for long; large buffers do not stay with them.
     if (buffer.size() == 0)
@@ -405,15 +493,12 @@
     const auto self = shared_from_this();
     while (open && !last_request_read)
     {
-        if (!co_await read_request())
+        const bool accepted = co_await read_request();
+        incoming.reset();
+        incoming_bytes = 0;
+        if (!accepted)
             break;
-        while (open && pending.size() >= shared->options.max_pipelined_requests)
-        {
-            error_code ec;
-            reading_paused = true;
-            co_await reader_signal.async_wait(store_error(ec));
-        }
-        reading_paused = false;
+        co_await pause_reading();
     }
     if (open && last_request_read)
         co_await read_until_closed();
@@ -421,6 +506,85 @@
         close_and_cancel(close_reason::caller_left);
 }
 
+bool front_connection::must_wait()
+{
+    if (pending.size() >= shared->options.max_pipelined_requests)
+        return true;
+    const auto& options = shared->options.memory_options;
+    if (!must_pause(use(), options))
+        return false;
+    // The responses are removed from the record only now and then.
+    all_received();
+    return must_pause(use(), options);
+}
+
+asio::awaitable<void> front_connection::pause_reading()
+{
+    bool counted = false;
+    while (open && must_wait())
+    {
+        if (!counted && pending.size() < shared->options.max_pipelined_requests)
+        {
+            ++shared->memory.paused;
+            counted = true;
+        }
+        error_code ec;
+        reading_paused = true;
+        reader_signal.expires_at(pending.empty() ? now() + unreceived_interval
+                                                 : time_point::max());
+        co_await reader_signal.async_wait(store_error(ec));
+    }
+    reading_paused = false;
+}
+
+connection_use front_connection::use() const
+{
+    return {buffer.capacity(), incoming_bytes, pending_bytes,
+            backlog.responses.size()};
+}
+
+bool front_connection::reserve_held()
+{
+    const auto bytes = memory_of(use());
+    const auto& options = shared->options;
+    return open &&
+           held.resize_within(bytes, limit_for(bytes, options.memory->limit(),
+                                               options.memory_options));
+}
+
+void front_connection::charge_held()
+{
+    if (open)
+        held.charge(memory_of(use()));
+}
+
+bool front_connection::may_give_way() const
+{
+    const auto since = [at = now()](time_point from)
+    {
+        return std::chrono::duration_cast<milliseconds>(at - from);
+    };
+    const bool receives = current_activity == activity::reading_header ||
+                          current_activity == activity::reading_body;
+    const caller_progress progress{receives && pending.empty(),
+                                   since(activity_start), received, writing,
+                                   since(last_write)};
+    return open && may_close(progress, shared->options.memory_options);
+}
+
+void front_connection::give_way()
+{
+    ++shared->memory.closed;
+    // The reading coroutine ends only later, and those who need the memory take
+    // it now.
+    if (incoming)
+    {
+        incoming->get().clear();
+        incoming->get().body() = std::string();
+    }
+    close_and_cancel(close_reason::memory);
+}
+
 // Reads and discards data until the caller closes the connection. This detects
 // a disconnect and prevents a TCP reset, which unread data would cause on
 // close, before the caller has received its response.
@@ -431,6 +595,8 @@
     while (open && !ec)
     {
         buffer.clear();
+        buffer.shrink_to_fit();
+        charge_held();
         co_await socket.async_read_some(buffer.prepare(read_chunk_bytes),
                                         store_error(ec));
         // A caller that still sends may not have read the last response.
@@ -460,6 +626,7 @@
         response.keep_alive(!last);
         response.prepare_payload();
         write_start = now();
+        last_write = write_start;
         if (all_received())
             start_window(write_start);
         writing = true;
@@ -470,6 +637,7 @@
             const auto n = co_await http::async_write_some(socket, serializer,
                                                            store_error(ec));
             backlog.written += n;
+            last_write = now();
         }
         writing = false;
         if (!open)
@@ -477,6 +645,8 @@
         add_response(backlog, socket.native_handle(), ex->request_id,
                      write_start);
         pending.pop_front();
+        pending_bytes -= ex->memory_bytes;
+        charge_held();
         --shared->open_exchanges;
         reader_signal.cancel();
         activity_start = now();
--- a/src/proxy/front_connection.hpp
+++ b/src/proxy/front_connection.hpp
@@ -9,6 +9,8 @@
 #include <parsleyplank/core/cut_off.hpp>
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/core/response_backlog.hpp>
+#include <parsleyplank/proxy/connection_memory.hpp>
+#include <parsleyplank/proxy/descriptor_pool.hpp>
 #include <parsleyplank/proxy/loop_monitor.hpp>
 #include <parsleyplank/proxy/messages.hpp>
 #include <parsleyplank/steering/traffic_config.hpp>
@@ -35,8 +37,15 @@
     // Reading pauses at this number.
     std::size_t max_pipelined_requests = 16;
     // Memory for the bodies of all connections that share this budget.
-    std::shared_ptr<body_budget> bodies =
-        std::make_shared<body_budget>(default_body_bytes);
+    std::shared_ptr<memory_budget> bodies =
+        std::make_shared<memory_budget>(default_body_bytes);
+    // Memory for all else that the connections hold.
+    std::shared_ptr<memory_budget> memory =
+        std::make_shared<memory_budget>(default_body_bytes);
+    connection_memory_options memory_options;
+    // Descriptors that are shared with connections to servers.
+    std::shared_ptr<descriptor_pool> descriptors =
+        std::make_shared<descriptor_pool>();
     // Time in which a caller must receive a response, or its part of it at
     // min_receive_rate, in bytes per second.
     milliseconds write_timeout{10'000};
@@ -47,6 +56,19 @@
     milliseconds close_timeout{1'000};
 };
 
+// What was done for lack of memory since a listener was created.
+struct memory_counts
+{
+    // Requests that were refused before they were handed on, for their fields
+    // and for their bodies.
+    std::uint64_t refused_headers = 0;
+    std::uint64_t refused_bodies = 0;
+    // Connections that were closed for others.
+    std::uint64_t closed = 0;
+    // How often a connection was not read because it held too much.
+    std::uint64_t paused = 0;
+};
+
 // State shared by all connections of one listener.
 struct front_shared
 {
@@ -64,6 +86,7 @@
     // not been cancelled.
     std::size_t open_exchanges = 0;
     cut_counts cut;
+    memory_counts memory;
 };
 
 using request_parser = http::request_parser<http::string_body>;
@@ -123,14 +146,29 @@
     // Reads one request and accepts it. Returns false if none was accepted,
     // also when an error response has been queued.
     asio::awaitable<bool> read_request();
+    // Reads the header of a request and reserves memory for what is read ahead
+    // and for the fields. Fails with no_buffer_space if there is none left.
+    asio::awaitable<error_code> read_header(request_parser& parser);
+    // Waits until the connection holds little enough to read a request.
+    asio::awaitable<void> pause_reading();
+    bool must_wait();
+    connection_use use() const;
+    // Reserves what the connection holds. Returns false if there is no memory.
+    bool reserve_held();
+    // Charges what the connection holds, also if there is no memory.
+    void charge_held();
+    // Returns whether the connection may be closed for the memory of others.
+    bool may_give_way() const;
+    // Closes the connection for the memory of others.
+    void give_way();
     // Reads the body and reserves memory for it as it grows. Fails with
     // no_buffer_space if there is none left.
     asio::awaitable<error_code> read_body(request_parser& parser,
-                                          body_reservation& memory);
+                                          memory_reservation& memory);
     asio::awaitable<void> write_responses();
     asio::awaitable<void> read_until_closed();
     // Adds the request to the counters of the listener and calls the handler.
-    void accept_request(request_message request, body_reservation_ptr memory);
+    void accept_request(request_message request, memory_reservation_ptr memory);
     // Queues a response to a request that is not accepted. The connection
     // closes after it.
     void queue_error_response(unsigned status, std::string_view text);
@@ -154,6 +192,17 @@
     tcp::socket socket;
     std::shared_ptr<front_shared> shared;
     beast::flat_buffer buffer;
+    // Memory of the connection without reserved bodies.
+    memory_reservation held;
+    // Parser of the request that is received.
+    std::optional<request_parser> incoming;
+    // Memory of the request that is received, and of the pending exchanges.
+    std::size_t incoming_bytes = 0;
+    std::size_t pending_bytes = 0;
+    // Bytes of the header or the body that is received.
+    std::size_t received = 0;
+    // Time at which a part of a response was last written.
+    time_point last_write{};
     // Exchanges whose responses have not been written, in request order.
     std::deque<exchange_ptr> pending;
     response_backlog backlog;
--- a/src/proxy/front_listener.cpp
+++ b/src/proxy/front_listener.cpp
@@ -128,6 +128,11 @@
     return n;
 }
 
+const memory_counts& front_listener::memory() const
+{
+    return shared->memory;
+}
+
 const cut_counts& front_listener::cut() const
 {
     return shared->cut;
@@ -198,7 +203,8 @@
 {
     if (ended)
         return;
-    const auto limit = shared->options.max_connections;
+    const auto limit = std::min(shared->options.max_connections,
+                                callers_limit(*shared->options.descriptors));
     if (shared->open_connections >= limit)
         close_longest_idle();
     const auto excess =
--- a/src/proxy/front_listener.hpp
+++ b/src/proxy/front_listener.hpp
@@ -65,6 +65,8 @@
     // process since its start.
     const cut_counts& cut() const;
 
+    const memory_counts& memory() const;
+
     // Returns the number of requests that are being received or whose responses
     // callers have not received.
     std::size_t open_requests() const;
--- a/src/proxy/messages.hpp
+++ b/src/proxy/messages.hpp
@@ -7,7 +7,7 @@
 
 #include <parsleyplank/core/clock.hpp>
 #include <parsleyplank/core/close_reason.hpp>
-#include <parsleyplank/proxy/body_budget.hpp>
+#include <parsleyplank/proxy/memory_budget.hpp>
 
 // Asio 1.74 uses std::exchange without including its header.
 // clang-format off
@@ -51,9 +51,12 @@
     time_point connection_start;
     // Set at most once, by respond().
     std::optional<response_message> response;
+    // Memory of the request and of the response without reserved bodies, in
+    // bytes.
+    std::size_t memory_bytes = 0;
     // Memory of the two bodies; null if there is none.
-    body_reservation_ptr request_memory;
-    body_reservation_ptr response_memory;
+    memory_reservation_ptr request_memory;
+    memory_reservation_ptr response_memory;
     // The connection is closed; a response can no longer be delivered.
     bool cancelled = false;
     // Why it is closed, if it is.
--- a/src/proxy/upstream_call.hpp
+++ b/src/proxy/upstream_call.hpp
@@ -5,6 +5,7 @@
 // one of them. A call sends its request at most once and never retries. Not
 // thread-safe: used by the traffic thread only.
 
+#include <parsleyplank/proxy/descriptor_pool.hpp>
 #include <parsleyplank/proxy/messages.hpp>
 #include <parsleyplank/steering/server_registry.hpp>
 
@@ -35,18 +36,33 @@
     std::uint32_t max_header_bytes = 16'384;
     std::size_t max_read_ahead_bytes = 65'536;
     // Memory for the bodies of all responses. One response may take half of it.
-    std::shared_ptr<body_budget> bodies =
-        std::make_shared<body_budget>(default_body_bytes);
+    std::shared_ptr<memory_budget> bodies =
+        std::make_shared<memory_budget>(default_body_bytes);
+    // Descriptors that are shared with the connections of callers.
+    std::shared_ptr<descriptor_pool> descriptors =
+        std::make_shared<descriptor_pool>();
 };
 
 // A connection to a backend server with the bytes read ahead from it.
 struct upstream_connection
 {
-    upstream_connection(asio::io_context& io, std::size_t max_read_ahead_bytes)
-        : socket(io), buffer(max_read_ahead_bytes)
+    upstream_connection(asio::io_context& io, const upstream_options& options)
+        : descriptors(options.descriptors), socket(io),
+          buffer(options.max_read_ahead_bytes)
     {
+        ++descriptors->servers;
     }
 
+    ~upstream_connection()
+    {
+        --descriptors->servers;
+    }
+
+    upstream_connection(const upstream_connection&) = delete;
+    upstream_connection& operator=(const upstream_connection&) = delete;
+
+    const std::shared_ptr<descriptor_pool> descriptors;
+
     tcp::socket socket;
     beast::flat_buffer buffer;
     time_point idle_since{};
@@ -79,6 +95,10 @@
     // has closed or that have unread bytes.
     void sweep();
 
+    // Returns whether one more connection may be opened. Closes an idle one if
+    // that is needed.
+    bool make_room();
+
     // Closes all idle connections to a server.
     void drop(const backend_server_id& server);
 
@@ -120,7 +140,7 @@
     call_outcome outcome = call_outcome::not_sent;
     response_message response;
     // Memory of the body of the response.
-    body_reservation_ptr memory;
+    memory_reservation_ptr memory;
     // Whether the connection came from the pool.
     bool reused = false;
     // Time to connect; empty if no new connection was established.
@@ -166,8 +186,8 @@
                                         const correlation& expected, bool head);
     // Reads one response and reserves memory for its body as it grows.
     asio::awaitable<error_code> read_message(response_parser& parser,
-                                             body_reservation& memory);
-    body_reservation_ptr reserve_memory();
+                                             memory_reservation& memory);
+    memory_reservation_ptr reserve_memory();
     void begin_write();
     void arm_timer(time_point at);
     // Closes the connection and records the reason; only the first one counts.
@@ -180,6 +200,8 @@
     upstream_connection_ptr connection;
     request_view message;
     std::shared_ptr<const void> message_body_owner;
+    // Parser of the response that is read; null if none is.
+    response_parser* reading = nullptr;
     asio::steady_timer timer;
     std::optional<call_outcome> interrupted;
     bool write_done = false;
--- a/test/correctness/proxy_body_budget.cpp
+++ b/test/correctness/proxy_memory_budget.cpp
@@ -1,6 +1,6 @@
 // Tests which bodies get memory when more is wanted than there is.
 
-#include <parsleyplank/proxy/body_budget.hpp>
+#include <parsleyplank/proxy/memory_budget.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -12,9 +12,9 @@
 namespace
 {
 
-class proxy_body_budget : public CppUnit::TestFixture
+class proxy_memory_budget : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(proxy_body_budget);
+    CPPUNIT_TEST_SUITE(proxy_memory_budget);
     CPPUNIT_TEST(memory_returns_to_the_budget);
     CPPUNIT_TEST(the_largest_response_gives_way_to_a_smaller_one);
     CPPUNIT_TEST(the_largest_response_can_not_grow_further);
@@ -25,24 +25,24 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t limit = 100;
-    std::shared_ptr<proxy::body_budget> budget;
+    std::shared_ptr<proxy::memory_budget> budget;
     std::vector<int> reclaimed;
 
-    std::unique_ptr<proxy::body_reservation> response(int number)
+    std::unique_ptr<proxy::memory_reservation> response(int number)
     {
-        return std::make_unique<proxy::body_reservation>(
+        return std::make_unique<proxy::memory_reservation>(
             budget, limit, [this, number] { reclaimed.push_back(number); });
     }
 
-    std::unique_ptr<proxy::body_reservation> request() const
+    std::unique_ptr<proxy::memory_reservation> request() const
     {
-        return std::make_unique<proxy::body_reservation>(budget, limit / 2);
+        return std::make_unique<proxy::memory_reservation>(budget, limit / 2);
     }
 
 public:
     void setUp() override
     {
-        budget = std::make_shared<proxy::body_budget>(limit);
+        budget = std::make_shared<proxy::memory_budget>(limit);
         reclaimed.clear();
     }
 
@@ -126,6 +126,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(proxy_body_budget);
+CPPUNIT_TEST_SUITE_REGISTRATION(proxy_memory_budget);
 
 } // namespace
