--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -38,6 +38,14 @@
     return status / 100 == 1;
 }
 
+// Returns whether a response with this status can be the result of a request.
+bool is_final(unsigned status)
+{
+    constexpr unsigned first_final = 200;
+    constexpr unsigned last_final = 599;
+    return status >= first_final && status <= last_final;
+}
+
 std::chrono::microseconds elapsed_since(time_point from)
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(now() - from);
@@ -332,6 +340,13 @@
             ++informational;
             continue;
         }
+        if (!is_final(response.result_int()))
+        {
+            result.outcome = call_outcome::lost;
+            result.detail =
+                "read: status " + std::to_string(response.result_int());
+            co_return;
+        }
         const auto echoed = header_value(response, expected.header);
         // A response without the echoed header is accepted only on a new
         // connection, which has carried no other request.
--- a/test/failure/edge_faulty_responses.cpp
+++ b/test/failure/edge_faulty_responses.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(a_refusal_that_is_written_twice_at_once_refuses_no_other);
     CPPUNIT_TEST(an_order_is_not_complete_if_the_header_ends_early);
     CPPUNIT_TEST(a_read_is_sent_elsewhere_if_the_header_ends_early);
+    CPPUNIT_TEST(a_response_with_an_impossible_status_is_not_passed_on);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int orders = 6;
@@ -177,6 +178,28 @@
             CPPUNIT_ASSERT_EQUAL(200,
                                  status_after_cut("GET", n, cut_points, true));
     }
+
+    // Guards against a status that is none being passed on as the result of an
+    // order that may have run.
+    void a_response_with_an_impossible_status_is_not_passed_on()
+    {
+        for (const std::string status : {"000", "099", "600", "999"})
+        {
+            edge = std::make_unique<edge_fixture>();
+            edge->add_server(
+                [status](const std::string& request)
+                {
+                    auto response = echo_response(request, "part");
+                    response.replace(response.find("200"), 3, status);
+                    return scripted_response{response, false};
+                });
+            edge->publish();
+            raw_connection caller(edge->config.callers.port);
+            caller.send(
+                edge_fixture::request("POST", "/order/1", "a", "", "x"));
+            CPPUNIT_ASSERT_EQUAL(502, caller.receive().status);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(edge_faulty_responses);
