Leave out second servers for long requests

The refusal of requests whose remaining time can't cover their work, which it held, is left out with it.

--- a/src/core/reason.cpp
+++ b/src/core/reason.cpp
@@ -67,8 +67,6 @@
         return "connection_lost";
     case retry_reason::incomplete_response:
         return "incomplete_answer";
-    case retry_reason::long_request:
-        return "long_request";
     case retry_reason::unresponsive_connection:
         return "silent_connection";
     case retry_reason::claim_conflict:
--- a/src/core/reason.hpp
+++ b/src/core/reason.hpp
@@ -55,7 +55,6 @@
     connection_lost,
     incomplete_response,
     unresponsive_connection,
-    long_request,
     claim_conflict
 };
 
@@ -76,8 +75,7 @@
 inline constexpr std::array all_retry_reasons{
     retry_reason::connect_failed,          retry_reason::backend_shed,
     retry_reason::connection_lost,         retry_reason::incomplete_response,
-    retry_reason::unresponsive_connection, retry_reason::long_request,
-    retry_reason::claim_conflict,
+    retry_reason::unresponsive_connection, retry_reason::claim_conflict,
 };
 
 // Returns the name used in headers, metrics and logs, e.g. "stale_state".
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -64,16 +64,6 @@
     return std::chrono::duration_cast<milliseconds>(when - now());
 }
 
-// Returns whether the server has run the request without a failure of its own.
-bool is_success(const proxy::call_result& result,
-                std::string_view not_executed_header)
-{
-    return result.outcome == proxy::call_outcome::answered &&
-           result.response.result_int() < first_server_error &&
-           result.response.result_int() != status_misdirected &&
-           header_value(result.response, not_executed_header).empty();
-}
-
 template <typename Number>
 std::optional<Number> parse_number(std::string_view text)
 {
@@ -282,11 +272,9 @@
 {
     const auto waited =
         std::chrono::duration_cast<milliseconds>(now() - ex->received);
-    const auto must_end_within =
-        idempotent() ? std::nullopt : std::optional(remaining());
-    return {*route,          customer,   service,
-            affinity_key,    tried,      route->target_latency - waited,
-            must_end_within, remaining()};
+    return {*route,       customer, service,
+            affinity_key, tried,    route->target_latency - waited,
+            remaining()};
 }
 
 bool request_flow::would_be_cut_off(const server_placement& placed) const
@@ -377,8 +365,8 @@
     ex->on_cancel = [weak = weak_from_this()]
     {
         const auto flow = weak.lock();
-        if (flow && flow->race)
-            flow->race->cancel();
+        if (flow && flow->call)
+            flow->call->cancel();
     };
     if (!admit_rank())
         co_return;
@@ -395,129 +383,40 @@
         end_cancelled();
 }
 
-void request_flow::start_call(const server_placement& placed)
+proxy::asio::awaitable<request_flow::next_step>
+request_flow::attempt(const server_placement& placed)
 {
     auto& state = context.state;
+    const auto number = state.next_call++;
     const auto& server = placed.server;
     tried.push_back(server->id);
-    calls.push_back(
-        {placed, state.next_call++, now(), count_send_usage(placed)});
-    state.loads[server->id].in_flight[calls.back().id] = {now(),
-                                                          placed.rank.expected};
-    race->start(std::make_shared<proxy::upstream_call>(context.pool, server),
-                {make_request(placed),
-                 ex,
-                 idempotent(),
-                 {context.platform.headers.request_id, ex->request_id},
-                 answer_by});
-}
-
-std::optional<time_point>
-request_flow::second_call_time(const server_placement& placed) const
-{
-    const auto& state = context.state;
-    const auto load = state.loads.find(placed.server->id);
-    const bool shares_machine =
-        load != state.loads.end() && load->second.capacity.pace.reported > 0;
-    const auto tail = state.tails.find({route->id, service});
-    if (!idempotent() || !shares_machine || tail == state.tails.end() ||
-        sends + 2 > route->max_attempts || state.snapshot->stop_at)
-        return std::nullopt;
-    const auto after =
-        steering::second_request_after(tail->second, state.options.tail);
-    if (!after)
-        return std::nullopt;
-    const std::chrono::duration<double> expected = placed.rank.expected;
-    return now() +
-           std::chrono::duration_cast<time_point::duration>(expected * *after);
-}
-
-void request_flow::start_second_call()
-{
-    auto& state = context.state;
-    if (!state_usable(context))
-        return;
-    const auto placed = place_second(state, make_placement_request(), now());
-    if (!placed)
-        return;
-    const auto& tail = state.tails[{route->id, service}];
-    const std::chrono::duration<double> expected = placed->rank.expected;
-    if (expected * tail.second_ratio > remaining() ||
-        !take_retry_budget(state, service))
-        return;
-    context.counters.count_retry(retry_reason::long_request);
-    confirm_placement(state, *placed, now());
-    start_call(*placed);
-}
-
-void request_flow::finish_call(std::size_t number,
-                               const proxy::call_result& result)
-{
-    auto& state = context.state;
-    const auto& call = calls[number];
-    state.loads[call.placed.server->id].in_flight.erase(call.id);
+    auto request = make_request(placed);
+    state.loads[server->id].in_flight[number] = {now(), placed.rank.expected};
+    const auto counted = count_send_usage(placed);
+    call = std::make_shared<proxy::upstream_call>(context.pool, server);
+    // Named variables, because GCC 12 destroys temporaries of a co_await twice.
+    proxy::correlation echo{context.platform.headers.request_id,
+                            ex->request_id};
+    std::shared_ptr<const void> body_owner = ex;
+    auto result = co_await call->run(std::move(request), std::move(body_owner),
+                                     idempotent(), std::move(echo), answer_by);
+    call.reset();
+    auto& load = state.loads[server->id];
+    load.in_flight.erase(number);
     if (result.outcome != proxy::call_outcome::not_sent &&
         result.outcome != proxy::call_outcome::no_resources)
         ++sends;
-    const std::chrono::duration<double> took = now() - call.began;
-    const std::chrono::duration<double> expected = call.placed.rank.expected;
-    const std::chrono::duration<double> shortest = milliseconds(1);
-    const auto ratio = took / std::max(expected, shortest);
-    auto& tail = state.tails[{route->id, service}];
-    const bool succeeded =
-        is_success(result, context.platform.headers.not_executed);
-    if (number == 0)
-        steering::record_call_time(tail, ratio, succeeded, state.options.tail);
-    else if (succeeded)
-        steering::record_second_time(tail, ratio, state.options.tail);
-    record_call(call.placed, result);
-    if (call.counted)
+    record_call(placed, result);
+    if (counted)
         correct_usage(
-            state.usage, *call.counted, result,
+            state.usage, *counted, result,
             was_run(result, !header_value(result.response,
                                           context.platform.headers.not_executed)
                                  .empty()),
-            state.loads[call.placed.server->id].round_trip, boot_now());
-}
-
-proxy::asio::awaitable<request_flow::next_step>
-request_flow::attempt(const server_placement& placed)
-{
-    race = std::make_shared<proxy::call_race>(context.pool.context());
-    calls.clear();
-    start_call(placed);
-    auto second_at = second_call_time(placed);
-    proxy::call_result result;
-    std::size_t number = 0;
-    bool decided = false;
-    while (race->running() > 0)
-    {
-        const auto until = second_at.value_or(time_point::max());
-        const auto ended = co_await race->wait_until(until);
-        if (!ended)
-        {
-            second_at.reset();
-            if (!ex->cancelled)
-                start_second_call();
-            continue;
-        }
-        auto one = race->take_result(*ended);
-        finish_call(*ended, one);
-        if (decided)
-            continue;
-        decided = is_success(one, context.platform.headers.not_executed);
-        result = std::move(one);
-        number = *ended;
-        if (decided)
-            race->cancel();
-    }
+            load.round_trip, boot_now());
     if (ex->cancelled)
         co_return next_step::done;
-    const auto answering = calls[number].placed;
-    // The log names the last server as the one that responded.
-    std::erase(tried, answering.server->id);
-    tried.push_back(answering.server->id);
-    co_return handle_result(answering, result);
+    co_return handle_result(placed, result);
 }
 
 std::optional<counted_send>
@@ -884,8 +783,7 @@
             << " server_ms=" << server_latency.count() / 1'000
             << " expected_ms=" << rank.expected.count()
             << " queue=" << rank.queue_factor << " warm=" << rank.warm
-            << " limit=" << rank.limit << " pace=" << rank.pace
-            << " calls=" << calls.size() << " rank="
+            << " limit=" << rank.limit << " pace=" << rank.pace << " rank="
             << (route == nullptr
                     ? "-"
                     : steering::to_string(rank_of(*route, customer)))
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -10,7 +10,7 @@
 #include <parsleyplank/edge/server_capacity_state.hpp>
 #include <parsleyplank/edge/server_placement.hpp>
 #include <parsleyplank/edge/token_exchange.hpp>
-#include <parsleyplank/proxy/call_race.hpp>
+#include <parsleyplank/proxy/upstream_call.hpp>
 #include <parsleyplank/telemetry/metrics.hpp>
 
 #include <log4cplus/logger.h>
@@ -77,16 +77,6 @@
     // Assumes a slow response for a request that must not be repeated.
     bool would_be_cut_off(const server_placement& placed) const;
     proxy::asio::awaitable<next_step> attempt(const server_placement& placed);
-    // Starts a call to the server as one of the running calls.
-    void start_call(const server_placement& placed);
-    // Returns the time from which the request is sent to a second server if it
-    // has no response; nullopt if it is not.
-    std::optional<time_point>
-    second_call_time(const server_placement& placed) const;
-    // Sends the request to a second server as well, if one can help.
-    void start_second_call();
-    // Records the end of a running call.
-    void finish_call(std::size_t number, const proxy::call_result& result);
     next_step handle_result(const server_placement& placed,
                             proxy::call_result& result);
     next_step handle_answer(const server_placement& placed,
@@ -149,18 +139,7 @@
     // Failure response of a server, held while another server is tried.
     std::optional<proxy::response_message> failure_response;
     bool token_taken = false;
-    struct running_call
-    {
-        server_placement placed;
-        // Key in server_load::in_flight.
-        std::uint64_t id = 0;
-        time_point began;
-        std::optional<counted_send> counted;
-    };
-
-    // Calls of the current attempt, in the order of the race's numbers.
-    std::vector<running_call> calls;
-    std::shared_ptr<proxy::call_race> race;
+    std::shared_ptr<proxy::upstream_call> call;
     // Set if the refusal tells the caller a place in the order of return.
     std::optional<steering::return_time> return_at;
     std::string last_detail;
--- a/src/edge/server_placement.cpp
+++ b/src/edge/server_placement.cpp
@@ -277,36 +277,9 @@
         !waits_without_harm(state, request, *decision.placed))
         decision.placed = choose_among(state, request, local_servers,
                                        overflow_region, true, now);
-    if (decision.placed &&
-        decision.placed->rank.expected >
-            request.must_end_within.value_or(decision.placed->rank.expected))
-    {
-        decision.placed = choose_among(state, request, local_servers,
-                                       overflow_region, true, now);
-        if (decision.placed &&
-            decision.placed->rank.expected > *request.must_end_within)
-            decision.placed.reset();
-    }
     if (decision.placed)
         decision.rank = decision.placed->rank;
     return decision;
 }
 
-std::optional<server_placement> place_second(traffic_state& state,
-                                             const placement_request& request,
-                                             time_point now)
-{
-    const auto policy = state.snapshot->versions.find(request.service);
-    if (policy != state.snapshot->versions.end() && policy->second.target)
-        return std::nullopt;
-    auto candidates = find_candidates(state, request, now);
-    filter_by_version(state, request.service, candidates);
-    std::erase_if(candidates,
-                  [](const steering::candidate& it) {
-                      return it.cold ||
-                             it.proximity == steering::distance::other_region;
-                  });
-    return choose_among(state, request, candidates, {}, true, now);
-}
-
 } // namespace parsleyplank::edge
--- a/src/edge/server_placement.hpp
+++ b/src/edge/server_placement.hpp
@@ -24,8 +24,6 @@
     std::span<const backend_server_id> tried;
     // Time left of the latency objective.
     milliseconds time_left{0};
-    // Time left of the deadline, if the request must not be repeated.
-    std::optional<milliseconds> must_end_within;
     // Time that the caller has left.
     milliseconds caller_time_left{0};
 };
@@ -58,13 +56,6 @@
                                  const placement_request& request,
                                  time_point now);
 
-// Chooses a further server in this region for a request that is still running
-// at another one. Returns nullopt if none has a free slot, or during a rollout
-// of the service.
-std::optional<server_placement> place_second(traffic_state& state,
-                                             const placement_request& request,
-                                             time_point now);
-
 // Takes a token from the budgets of a server that is cold or has named a limit,
 // before the request is sent.
 void confirm_placement(traffic_state& state, const server_placement& placed,
--- a/src/edge/traffic_state.hpp
+++ b/src/edge/traffic_state.hpp
@@ -12,7 +12,6 @@
 #include <parsleyplank/edge/token_pool.hpp>
 #include <parsleyplank/edge/usage_meter.hpp>
 #include <parsleyplank/placement/retry_budget.hpp>
-#include <parsleyplank/steering/long_tail.hpp>
 #include <parsleyplank/steering/region_shift.hpp>
 #include <parsleyplank/steering/server_notice.hpp>
 #include <parsleyplank/steering/server_ranking.hpp>
@@ -30,7 +29,6 @@
     steering::ranking_options ranking;
     steering::health_options health;
     steering::capacity_options capacity;
-    steering::tail_options tail;
     steering::shift_options shift;
     // Part of the fleet's retry allowance that instances use. The rest is a
     // reserve for instances that know fewer members than there are.
@@ -68,7 +66,6 @@
     std::map<std::pair<route_id, service_id>, steering::service_times> times;
     // What the servers of a service have in common.
     std::unordered_map<service_id, steering::service_capacity> capacities;
-    std::map<std::pair<route_id, service_id>, steering::response_tail> tails;
     token_pool_state tokens;
     std::unordered_map<service_id, placement::retry_budget> retries;
     std::unordered_map<route_id, split_state> splits;
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -165,6 +165,19 @@
     std::erase_if(idle, [](const auto& it) { return it.second.empty(); });
 }
 
+bool upstream_pool::make_room()
+{
+    if (may_open_server(*options.descriptors))
+        return true;
+    const auto found = std::ranges::find_if(idle, [](const auto& it)
+                                            { return !it.second.empty(); });
+    if (found == idle.end())
+        return false;
+    found->second.erase(found->second.begin());
+    --idle_count;
+    return may_open_server(*options.descriptors);
+}
+
 void upstream_pool::drop(const backend_server_id& server)
 {
     const auto it = idle.find(server);
@@ -214,8 +227,14 @@
 asio::awaitable<bool> upstream_call::connect(call_result& result)
 {
     const auto began = now();
-    connection = std::make_shared<upstream_connection>(
-        pool.context(), pool.settings().max_read_ahead_bytes);
+    if (!pool.make_room())
+    {
+        result.outcome = call_outcome::no_resources;
+        result.detail = "connect: no descriptor left for servers";
+        co_return false;
+    }
+    connection =
+        std::make_shared<upstream_connection>(pool.context(), pool.settings());
     error_code ec;
     const tcp::endpoint remote_endpoint(
         asio::ip::make_address(target->endpoint.address, ec),
@@ -247,20 +266,25 @@
         { self->write_done = !ec; });
 }
 
-body_reservation_ptr upstream_call::reserve_memory()
+memory_reservation_ptr upstream_call::reserve_memory()
 {
     const auto& bodies = pool.settings().bodies;
-    return std::make_shared<body_reservation>(
+    return std::make_shared<memory_reservation>(
         bodies, bodies->limit(),
         [weak = weak_from_this()]
         {
-            if (const auto self = weak.lock())
-                self->interrupt(call_outcome::lost);
+            const auto self = weak.lock();
+            if (!self)
+                return;
+            self->interrupt(call_outcome::lost);
+            // The call ends only later, and others take the memory now.
+            if (self->reading != nullptr)
+                self->reading->get().body() = std::string();
         });
 }
 
 asio::awaitable<error_code>
-upstream_call::read_message(response_parser& parser, body_reservation& memory)
+upstream_call::read_message(response_parser& parser, memory_reservation& memory)
 {
     auto& socket = connection->socket;
     auto& buffer = connection->buffer;
@@ -302,7 +326,9 @@
         parser.body_limit(pool.settings().bodies->limit() / 2);
         parser.skip(head);
         const auto memory = reserve_memory();
+        reading = &parser;
         const auto ec = co_await read_message(parser, *memory);
+        reading = nullptr;
         if (ec || interrupted)
         {
             result.outcome = outcome_or(call_outcome::lost);
