--- a/test/failure/edge_server_notices.cpp
+++ b/test/failure/edge_server_notices.cpp
@@ -1,8 +1,9 @@
 // Backend servers that say in their responses that they are leaving, or that
 // they want nothing for a time: guards against sending to them all the same.
 
-#include <cppunit/extensions/HelperMacros.h>
 #include <parsleyplank/edge/server_limits.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
 #include <support/edge_fixture.hpp>
 
 #include <atomic>
