Treat ids of leases as opaque

The combined id of a lease and the era, of, cut the ids of leases down to 44 bits; the platform's are larger at times.

--- a/src/store/store_era.hpp
+++ b/src/store/store_era.hpp
@@ -15,25 +15,21 @@
 // Number of bits of the store's own numbers.
 constexpr unsigned era_shift = 44;
 
-// Returns the revision, or the id of a lease, with this number. Number 0 stands
-// for none in all eras.
-template <typename Id>
-Id with_era(std::uint64_t era, std::uint64_t number)
+// Returns the revision with this number. Number 0 stands for none in all eras.
+inline revision with_era(std::uint64_t era, std::uint64_t number)
 {
-    return Id(number == 0 ? 0 : (era << era_shift) + number);
+    return revision(number == 0 ? 0 : (era << era_shift) + number);
 }
 
-template <typename Id>
-std::uint64_t era_of(Id id)
+inline std::uint64_t era_of(revision known)
 {
-    return id.value >> era_shift;
+    return known.value >> era_shift;
 }
 
 // Returns the store's own number.
-template <typename Id>
-std::uint64_t number_in_era(Id id)
+inline std::uint64_t number_in_era(revision known)
 {
-    return id.value & ((std::uint64_t(1) << era_shift) - 1);
+    return known.value & ((std::uint64_t(1) << era_shift) - 1);
 }
 
 } // namespace parsleyplank::store
--- a/test/correctness/edge_restored_records.cpp
+++ b/test/correctness/edge_restored_records.cpp
@@ -17,7 +17,7 @@
 
 revision in_era(std::uint64_t era, std::uint64_t number)
 {
-    return store::with_era<revision>(era, number);
+    return store::with_era(era, number);
 }
 
 class edge_restored_records : public CppUnit::TestFixture
--- a/test/correctness/platform_store.cpp
+++ b/test/correctness/platform_store.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(a_revision_of_an_earlier_era_matches_nothing);
     CPPUNIT_TEST(a_lease_of_an_earlier_era_has_ended);
     CPPUNIT_TEST(a_response_of_an_earlier_era_is_rejected);
+    CPPUNIT_TEST(a_large_lease_id_is_sent_as_it_is);
     CPPUNIT_TEST_SUITE_END();
 
     std::mutex guard;
@@ -289,6 +290,25 @@
                        store::commit_outcome::lease_ended);
     }
 
+    // Guards against registrations that fail because a part of the id is taken
+    // for the era.
+    void a_large_lease_id_is_sent_as_it_is()
+    {
+        const std::string id = "9223372036854775807";
+        const auto server = start(
+            [&](std::size_t)
+            {
+                return scripted_response{
+                    http_text("200 OK", R"({"lease":)" + id + "}"), false};
+            });
+        auto store = open(*server);
+        const auto lease = store.grant_lease(milliseconds(4'000));
+        store.commit({{}, {{"a", "1", lease}}, {}});
+        CPPUNIT_ASSERT(requests.back().find(id) != std::string::npos);
+        CPPUNIT_ASSERT(store.renew_lease(lease));
+        CPPUNIT_ASSERT(requests.back().find(id) != std::string::npos);
+    }
+
     void a_response_of_an_earlier_era_is_rejected()
     {
         const auto server =
--- a/test/support/memory_store.cpp
+++ b/test/support/memory_store.cpp
@@ -14,7 +14,7 @@
 
 revision newest(const memory_store_data& data)
 {
-    return data.history.empty() ? store::with_era<revision>(data.era, 1)
+    return data.history.empty() ? store::with_era(data.era, 1)
                                 : data.history.back().first;
 }
 
@@ -53,21 +53,15 @@
 {
     const guard lock(data.mutex);
     ++data.era;
-    const auto in_new_era = [&](auto id)
+    const auto in_new_era = [&](revision known)
     {
-        return store::with_era<decltype(id)>(data.era,
-                                             store::number_in_era(id));
+        return store::with_era(data.era, store::number_in_era(known));
     };
     data.entries = from.entries;
     for (auto& [key, it] : data.entries)
         it.key_revision = in_new_era(it.key_revision);
     data.leases = from.leases;
-    for (auto& [key, lease] : data.leases)
-        lease = in_new_era(lease);
-    data.live_leases.clear();
-    for (const auto& lease : from.live_leases)
-        data.live_leases.insert(in_new_era(lease));
-    data.newest_lease = in_new_era(data.newest_lease);
+    data.live_leases = from.live_leases;
     data.history = {{in_new_era(from.newest), {}}};
     data.changed.notify_all();
 }
