--- a/cmake/parsleyplank.cmake
+++ b/cmake/parsleyplank.cmake
@@ -33,7 +33,8 @@
                  ${CMAKE_SOURCE_DIR}/test/support/main.cpp)
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/test)
   target_compile_definitions(
-    ${name} PRIVATE PARSLEYPLANK_GOLDEN_DIR="${CMAKE_SOURCE_DIR}/test/golden")
+    ${name} PRIVATE PARSLEYPLANK_GOLDEN_DIR="${CMAKE_SOURCE_DIR}/test/golden"
+                    PARSLEYPLANK_DEPLOY_DIR="${CMAKE_SOURCE_DIR}/deploy")
   target_link_libraries(${name} PRIVATE parsleyplank_test_support ${libraries}
                                         PkgConfig::CPPUNIT)
 endfunction()
