--- a/src/settings/table_reader.cpp
+++ b/src/settings/table_reader.cpp
@@ -53,10 +53,13 @@
     const auto* node = find(key, required);
     if (node == nullptr)
         return;
-    if (const auto found = node->value_exact<std::string>())
-        value = *found;
-    else
+    const auto found = node->value_exact<std::string>();
+    if (!found)
         report(*node, std::string(key) + " must be a string");
+    else if (required && found->empty())
+        report(*node, std::string(key) + " must not be empty");
+    else
+        value = *found;
 }
 
 void table_reader::flag(const char* key, bool& value)
@@ -96,11 +99,21 @@
                                       written + "'");
 }
 
+std::optional<std::int64_t> table_reader::whole_number(const toml::node& node)
+{
+    // Up to here, a double holds every whole number.
+    constexpr double most = 9e15;
+    const auto found = node.value_exact<double>();
+    if (found && std::abs(*found) <= most && *found == std::trunc(*found))
+        return static_cast<std::int64_t>(*found);
+    return node.value_exact<std::int64_t>();
+}
+
 void table_reader::address(const char* key, std::string& value)
 {
     text(key, value, true);
     const auto* node = find(key, false);
-    if (node != nullptr && !is_ip_address(value))
+    if (node != nullptr && !value.empty() && !is_ip_address(value))
         report(*node, std::string(key) + " must be an IP address, not '" +
                           value + "'");
 }
--- a/src/settings/table_reader.hpp
+++ b/src/settings/table_reader.hpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <functional>
 #include <limits>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -29,6 +30,7 @@
     table_reader(const toml::table& root, std::string section,
                  const std::string& file, std::vector<std::string>& problems);
 
+    // A text; a required one must not be empty.
     void text(const char* key, std::string& value, bool required);
 
     void flag(const char* key, bool& value);
@@ -36,9 +38,11 @@
     // A fraction of at least 0.
     void fraction(const char* key, double& value, bool required);
 
-    // A text of a number and its unit, "ms" or "s".
+    // A text of a number and its unit, "ms" or "s". An empty one that is not
+    // required counts as absent.
     void duration(const char* key, milliseconds& value, bool required);
 
+    // A whole number, which may be written with a fraction of zero.
     template <typename Number>
     void number(const char* key, Number& value, std::int64_t least,
                 bool required)
@@ -46,7 +50,7 @@
         const auto* node = find(key, required);
         if (node == nullptr)
             return;
-        const auto found = node->value_exact<std::int64_t>();
+        const auto found = whole_number(*node);
         constexpr auto most = static_cast<std::int64_t>(
             std::min<std::uint64_t>(std::numeric_limits<Number>::max(),
                                     std::numeric_limits<std::int64_t>::max()));
@@ -58,7 +62,7 @@
                               std::to_string(most));
     }
 
-    // An IP address.
+    // A required IP address.
     void address(const char* key, std::string& value);
 
     // A text "IP:PORT".
@@ -73,6 +77,7 @@
     void reject_unknown();
 
 private:
+    static std::optional<std::int64_t> whole_number(const toml::node& node);
     const toml::node* find(const char* key, bool required);
     void report(const toml::node& node, const std::string& text);
 
--- a/test/process/deploy_build.sh
+++ b/test/process/deploy_build.sh
@@ -59,12 +59,13 @@
   exit 1
 fi
 
-# Every file that CMake, the compiler or the linker read belongs to one of the
-# packages.
+# Every file that CMake, the compiler or the linker read, and every library that
+# the program loads, belongs to one of the packages.
 cat > "$dir/main.cpp" <<<'int main() {}'
 {
   grep -oE '"/[^"]*"' "$target/CMakeFiles/Makefile.cmake" | tr -d '"'
   find "$target" -name '*.o.d' -exec cat {} + | grep -oE '(^| )/[^ :\\]+'
+  ldd "$dir/source/$run" | grep -oE '/[^ ]+'
   find "$target" -name link.txt -exec cat {} + | grep -oE ' (/|-l)[^ ]+' |
     while read -r name; do
       [[ $name == -l* ]] && name=$(g++ -print-file-name="lib${name#-l}.so")
