Let a reload signal during the start wait until it can be handled

What operators would see: a process that gets SIGHUP while it starts ends with status 129 and is started again. The signal's handler is set up with the control plane, after the settings, the log and the listeners; a slow machine takes longer for that.

SIGHUP is now blocked from the beginning of main until the handler and the reload are there; a pending one is then handled. Between the exec and main the signal still ends the process.

Evidence: edge_settings.sh sends SIGHUP while the process waits for its settings file, a pipe: status 129 before, 0 now.

--- a/apps/parsleyplank-edge/main.cpp
+++ b/apps/parsleyplank-edge/main.cpp
@@ -12,6 +12,7 @@
 #include <platform/platform_store.hpp>
 #include <tclap/CmdLine.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <exception>
 #include <iostream>
@@ -32,6 +33,16 @@
 // bodies then leave gaps that small blocks keep open.
 constexpr int mapped_block_bytes = 131'072;
 
+// Blocks or unblocks SIGHUP in the calling thread. Until the instance handles
+// it, it would end the process.
+void mask_reload_signal(int how)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(how, &signals, nullptr);
+}
+
 std::unique_ptr<store::lease_store> open_store(const edge::settings& config)
 {
     store::http_settings where;
@@ -74,6 +85,7 @@
         config, adapter, [&] { return open_store(config); }, traffic, counters,
         edge::control_options_for(config.bounds));
     control.watch_settings(file, [&] { reload(file, config); });
+    mask_reload_signal(SIG_UNBLOCK);
     control.run();
     // Exits without joining the threads that call the store: they may block for
     // the duration of a watch, which is longer than the platform gives a
@@ -86,6 +98,7 @@
 
 int main(int argc, char** argv)
 {
+    mask_reload_signal(SIG_BLOCK);
     mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
     try
     {
--- a/test/process/edge_settings.sh
+++ b/test/process/edge_settings.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Tests the check of the settings file: a valid file passes, and for an invalid
-# one each problem is reported with its line, at exit status 2.
+# one each problem is reported with its line, at exit status 2. Also guards
+# against a process that a reload signal ends while it still starts.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 edge=${BUILD_DIR:-build}/apps/parsleyplank-edge/parsleyplank-edge
@@ -35,3 +36,13 @@
 grep -q "bad.toml:16: \[bounds\] contact must be a number with ms or s" \
   "$dir/problems"
 grep -q "bad.toml:17: \[bounds\] unknown key 'grase'" "$dir/problems"
+
+# The process waits in its start until the other end of the pipe is closed.
+mkfifo "$dir/pipe.toml"
+"$edge" --check "$dir/pipe.toml" &
+pid=$!
+exec 3> "$dir/pipe.toml"
+kill -HUP "$pid"
+cat "$dir/good.toml" >&3
+exec 3>&-
+wait "$pid"
