--- a/apps/parsleyplank-edge/main.cpp
+++ b/apps/parsleyplank-edge/main.cpp
@@ -3,6 +3,7 @@
 // a graceful shutdown (SIGTERM, SIGINT), 2 if the settings are invalid, and 1
 // after any other failure. SIGHUP reloads the settings file.
 
+#include <parsleyplank/core/crash_report.hpp>
 #include <parsleyplank/core/error.hpp>
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/edge/control_plane.hpp>
@@ -98,6 +99,7 @@
 
 int main(int argc, char** argv)
 {
+    install_crash_report();
     mask_reload_signal(SIG_BLOCK);
     mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
     try
--- a/apps/parsleyplank-entry/main.cpp
+++ b/apps/parsleyplank-entry/main.cpp
@@ -2,6 +2,7 @@
 // (SIGTERM, SIGINT or POST /drain), 2 if its arguments or settings are wrong,
 // 1 after any other failure.
 
+#include <parsleyplank/core/crash_report.hpp>
 #include <parsleyplank/core/error.hpp>
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/entry/node.hpp>
@@ -56,6 +57,7 @@
 
 int main(int argc, char** argv)
 {
+    install_crash_report();
     try
     {
         TCLAP::CmdLine cmd(
