--- a/review/standin-2/upstream.cpp
+++ b/review/standin-2/upstream.cpp
@@ -16,13 +16,21 @@
 
 } // namespace
 
-upstream::upstream(std::string name, std::string served, std::string where,
-                   platform_store& known, record& written, milliseconds warmup)
-    : id(std::move(name)), service(std::move(served)), zone(std::move(where)),
-      store(known), log(written),
+upstream::upstream(std::string name, std::string service, std::string zone,
+                   platform_store& store, record& written)
+    : id(std::move(name)), log(written),
       loop([this](connection& caller) { serve(caller); })
 {
-    report("ready", warmup);
+    store.put("servers/" + id,
+              {{"address", "127.0.0.1:" + std::to_string(loop.port())},
+               {"born", 1'700'000'000'000},
+               {"info",
+                {{"service", std::move(service)},
+                 {"version", "v1"},
+                 {"zone", std::move(zone)},
+                 {"capacity", 4}}},
+               {"status",
+                {{"state", "ready"}, {"sequence", 1}, {"warmupLeft", "0ms"}}}});
 }
 
 void upstream::set_work_time(milliseconds time)
@@ -30,26 +38,10 @@
     work_time = time;
 }
 
-void upstream::drain()
-{
-    report("draining", milliseconds(0));
-    log.add("upstream " + id + " is draining");
-}
-
-void upstream::report(const std::string& state, milliseconds warmup)
+void upstream::answer_with(std::string bytes)
 {
-    store.put("servers/" + id,
-              {{"address", "127.0.0.1:" + std::to_string(loop.port())},
-               {"born", 1'700'000'000'000},
-               {"info",
-                {{"service", service},
-                 {"version", "v1"},
-                 {"zone", zone},
-                 {"capacity", 4}}},
-               {"status",
-                {{"state", state},
-                 {"sequence", ++sequence},
-                 {"warmupLeft", std::to_string(warmup.count()) + "ms"}}}});
+    const std::lock_guard lock(guard);
+    faulty_answer = std::move(bytes);
 }
 
 std::vector<run_request> upstream::runs() const
@@ -61,8 +53,18 @@
 void upstream::serve(connection& caller)
 {
     while (const auto request = read_request(caller))
-        if (!caller.send_all(run(*request)))
+    {
+        const auto answer = run(*request);
+        const auto fault = [this]
+        {
+            const std::lock_guard lock(guard);
+            return faulty_answer;
+        }();
+        if (fault)
+            log.add("upstream " + id + " sends " + printable(*fault));
+        if (!caller.send_all(fault.value_or(answer)) || fault)
             return;
+    }
 }
 
 std::string upstream::run(const message& request)
--- a/review/standin-2/upstream.hpp
+++ b/review/standin-2/upstream.hpp
@@ -1,8 +1,9 @@
 #ifndef PARSLEYPLANK_REVIEW_2_UPSTREAM_HPP
 #define PARSLEYPLANK_REVIEW_2_UPSTREAM_HPP
 
-// A sound upstream on a loopback address: runs each request that names it, and
-// answers with the id of the request, a seal and the whole body.
+// An upstream on a loopback address: runs each request that names it, and
+// answers with the id of the request, a seal and the whole body. It is sound
+// unless it is told otherwise.
 
 #include "platform_store.hpp"
 #include "record.hpp"
@@ -25,15 +26,15 @@
 class upstream
 {
 public:
-    // Registers itself in the store, as cold if there is a warm-up.
+    // Registers itself in the store.
     upstream(std::string id, std::string service, std::string zone,
-             platform_store& store, record& log,
-             milliseconds warmup = milliseconds(0));
+             platform_store& store, record& log);
 
     // Each further run takes this time.
     void set_work_time(milliseconds time);
-    // Says in the store that it is draining.
-    void drain();
+    // Each further run is followed by these bytes and the end of the
+    // connection, in place of an answer.
+    void answer_with(std::string bytes);
 
     std::vector<run_request> runs() const;
 
@@ -41,17 +42,12 @@
     void serve(connection& caller);
     std::string run(const message& request);
 
-    void report(const std::string& state, milliseconds warmup);
-
     const std::string id;
-    const std::string service;
-    const std::string zone;
-    platform_store& store;
     record& log;
-    int sequence = 0;
     std::atomic<milliseconds> work_time{milliseconds(0)};
     mutable std::mutex guard;
     std::vector<run_request> done;
+    std::optional<std::string> faulty_answer;
     // The last member, since its threads use the others.
     server_loop loop;
 };
