review: repeated changes of a large configuration end the process

A process that has adopted some 170 versions of 0.8 MB exceeds the 160 MB of its machine, and the orders under way get no answer.

--- a/review/standin-2/instance.hpp
+++ b/review/standin-2/instance.hpp
@@ -25,6 +25,8 @@
 };
 
 inline const machine skuffe_glb{260, 4'100, "4000ms", "2500ms", "6s", 58};
+inline const machine tokachi_coop_grown{160,      4'100, "4000ms",
+                                        "4000ms", "6s",  160};
 inline const machine tokachi_coop_large{160,      4'100, "5000ms",
                                         "4000ms", "10s", 630};
 
--- a/review/standin-2/platform_store.cpp
+++ b/review/standin-2/platform_store.cpp
@@ -13,6 +13,7 @@
 using parameters = std::map<std::string, std::string>;
 
 constexpr std::size_t page_items = 500;
+constexpr milliseconds history{20'000};
 
 constexpr std::string_view base64_digits =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -204,16 +205,15 @@
     const auto after = std::stoull(value_of(query, "after"));
     const auto end =
         clock::now() + milliseconds(std::stoll(value_of(query, "waitMs")));
+    if (after < forgotten)
+        return {410, json::object()};
     auto found = json::array();
     const auto any = [&]
     {
-        std::ranges::copy_if(
-            events, std::back_inserter(found),
-            [&](const json& it)
-            {
-                return it.at("revision").get<std::uint64_t>() > after &&
-                       it.at("key").get<std::string>().starts_with(prefix);
-            });
+        for (const auto& it : events)
+            if (it.revision > after &&
+                it.row.at("key").get<std::string>().starts_with(prefix))
+                found.push_back(it.row);
         return stopping || !found.empty();
     };
     changed.wait_until(lock, end, any);
@@ -262,6 +262,17 @@
     return {200, json::object()};
 }
 
+void platform_store::add_event(json row)
+{
+    const auto now = clock::now();
+    events.push_back({now, revision, std::move(row)});
+    while (now - events.front().at > history)
+    {
+        forgotten = events.front().revision;
+        events.pop_front();
+    }
+}
+
 void platform_store::write(const std::string& key, const std::string& value,
                            std::uint64_t lease)
 {
@@ -270,14 +281,13 @@
     it.revision = ++revision;
     it.created = it.created == 0 ? revision : it.created;
     it.lease = lease;
-    events.push_back(to_json(key, it));
+    add_event(to_json(key, it));
 }
 
 void platform_store::remove(const std::string& key)
 {
     if (items.erase(key) > 0)
-        events.push_back(
-            {{"key", key}, {"revision", ++revision}, {"removed", true}});
+        add_event({{"key", key}, {"revision", ++revision}, {"removed", true}});
 }
 
 void platform_store::end_lease(std::uint64_t lease)
--- a/review/standin-2/platform_store.hpp
+++ b/review/standin-2/platform_store.hpp
@@ -10,8 +10,8 @@
 #include <nlohmann/json.hpp>
 
 #include <condition_variable>
+#include <deque>
 #include <mutex>
-#include <vector>
 
 namespace review2
 {
@@ -37,6 +37,13 @@
         std::uint64_t lease = 0;
     };
 
+    struct event
+    {
+        clock::time_point at;
+        std::uint64_t revision;
+        nlohmann::json row;
+    };
+
     struct lease_state
     {
         milliseconds ttl;
@@ -59,6 +66,7 @@
     response commit(const nlohmann::json& body);
     response grant(const nlohmann::json& body);
     response renew(std::uint64_t lease);
+    void add_event(nlohmann::json row);
     void write(const std::string& key, const std::string& value,
                std::uint64_t lease);
     void remove(const std::string& key);
@@ -70,7 +78,9 @@
     std::condition_variable changed;
     std::map<std::string, item> items;
     std::map<std::uint64_t, lease_state> leases;
-    std::vector<nlohmann::json> events;
+    // Changes of the last seconds, and the revision of the last one before.
+    std::deque<event> events;
+    std::uint64_t forgotten = 0;
     std::uint64_t revision = 100;
     std::uint64_t last_lease = 5'000;
     bool stopping = false;
