Count the grace time from the stop signal, not from its handling

Callers: requests that an instance was still serving got no answer when the platform killed it, before its own exit at 93% of the grace time.

Cause: the control thread took the time of a stop signal when it came to handle the signal. While it decoded a configuration, all times of the stop were late by as much: accepting, late requests and the exit.

Change: signal_watch waits for signals on a thread of its own and passes the time on. drain_schedule computes the times of a stop from it; it replaces the fractions in control_plane. event=drain tells how late the signal was handled and when the process exits.

Evidence: edge_stop_signal has a control thread that is busy for 1.5 s when the signal comes, with a grace time of 4 s. A process that is stopped by SIGSTOP when the signal comes still can't know its time.

--- a/src/edge/control_plane.cpp
+++ b/src/edge/control_plane.cpp
@@ -76,12 +76,6 @@
                                  { return it.key.size() + it.value.size(); });
 }
 
-milliseconds fraction_of(milliseconds whole, double part)
-{
-    return milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(whole.count()) * part));
-}
-
 } // namespace
 
 control_options control_options_for(const fleet_bounds& bounds)
@@ -107,8 +101,14 @@
                              control_options opts)
     : config(chosen), platform(adapted), traffic(plane), counters(metrics),
       options(opts), log(component_logger("control")), io(1),
-      signals(io, SIGTERM, SIGINT, SIGHUP), tick_timer(io), accept_timer(io),
-      exit_timer(io), heartbeat_timer(io), removal_timer(io),
+      signals(
+          [this](int number, time_point noticed)
+          {
+              proxy::asio::post(io, [this, number, noticed]
+                                { handle_signal(number, noticed); });
+          }),
+      tick_timer(io), accept_timer(io), exit_timer(io), heartbeat_timer(io),
+      removal_timer(io),
       peer_socket(io,
                   udp::endpoint(proxy::asio::ip::make_address(config.address),
                                 config.peer_port)),
@@ -173,7 +173,7 @@
 usage_surroundings
 control_plane::usage_view(const std::vector<const peer_state*>& live) const
 {
-    return {fleet, live, own_criteria(), drain_started_at.has_value()};
+    return {fleet, live, own_criteria(), drain.has_value()};
 }
 
 void control_plane::run()
@@ -183,7 +183,6 @@
                        << config.id.value << " domain=" << config.domain.value
                        << " region=" << config.region.value << " callers="
                        << config.callers.address << ":" << config.callers.port);
-    wait_for_signals();
     receive_digests();
     renew_registration();
     heartbeat();
@@ -289,8 +288,7 @@
 
 void control_plane::notify_store_watchers()
 {
-    if (!notice_due || now() - last_notice < options.notice_interval ||
-        drain_started_at)
+    if (!notice_due || now() - last_notice < options.notice_interval || drain)
         return;
     notice_due = false;
     last_notice = now();
@@ -698,8 +696,7 @@
 
 void control_plane::renew_registration()
 {
-    if (drain_started_at ||
-        now() - last_renewal < options.lease_renewal_interval)
+    if (drain || now() - last_renewal < options.lease_renewal_interval)
         return;
     last_renewal = now();
     worker->submit(
@@ -752,7 +749,7 @@
     const auto at = now();
     step_roster(roster, fleet, options.fleet, contact_with_store(), at);
     log_roster();
-    if (drain_started_at)
+    if (drain)
         return;
     // A part that an earlier process of this instance had needs no wait: all
     // others have set it aside.
@@ -856,7 +853,7 @@
 
 void control_plane::restore_registration()
 {
-    if (drain_started_at)
+    if (drain)
         return;
     LOG4CPLUS_WARN(log, "event=registration_lost");
     worker->submit([held = lease](store::lease_store& /*store*/)
@@ -920,7 +917,7 @@
     member_digest digest{self.id,
                          self.started_ms,
                          ++digest_sequence_number,
-                         drain_started_at.has_value(),
+                         drain.has_value(),
                          store_reachable(),
                          applied_revision,
                          {},
@@ -953,7 +950,7 @@
 void control_plane::greet_new_peers()
 {
     // Until this instance is registered, the others don't know it.
-    if (new_peers.empty() || !registration_seen || drain_started_at)
+    if (new_peers.empty() || !registration_seen || drain)
         return;
     const auto bytes = pack_value(make_digest(last_report));
     for (const auto& id : std::exchange(new_peers, {}))
@@ -1155,7 +1152,7 @@
 void control_plane::add_rates(steering_snapshot& next) const
 {
     const bool issuing =
-        !drain_started_at && may_issue(roster, contact_with_store(), now());
+        !drain && may_issue(roster, contact_with_store(), now());
     next.rates = {count_issuers(roster), 0, issuing, roster.issuing_since};
     const auto add = [&](const member_record& it)
     {
@@ -1163,7 +1160,7 @@
         if (it.region == self.region)
             ++next.rates.issuers_in_touch;
     };
-    if (!drain_started_at)
+    if (!drain)
         add(self);
     for (const auto* peer : peers_in_touch(fleet, options.fleet, now()))
         add(peer->record);
@@ -1175,16 +1172,11 @@
     next->routing = routing;
     next->confirmed = is_confirmed(confirmation);
     next->last_store_contact = last_store_response;
-    next->draining = drain_started_at.has_value();
-    if (drain_started_at)
+    next->draining = drain.has_value();
+    if (drain)
     {
-        const auto after = [&](double fraction)
-        {
-            return *drain_started_at +
-                   fraction_of(config.bounds.grace, fraction);
-        };
-        next->late_from = after(options.late_fraction);
-        next->stop_at = after(options.exit_fraction);
+        next->late_from = drain->late_from;
+        next->stop_at = drain->stop_at;
     }
     const auto add = [&](const member_record& it)
     {
@@ -1192,12 +1184,12 @@
         next->instances.push_back(
             {it.id, {it.address, it.caller_port}, it.domain, it.region});
     };
-    if (!drain_started_at)
+    if (!drain)
         add(self);
     for (const auto* peer : live_peers(fleet, options.fleet, now()))
         add(peer->record);
     next->registered = count_registered(fleet);
-    if (!drain_started_at)
+    if (!drain)
         ++next->registered[self.region];
     update_servers(*next);
     add_rates(*next);
@@ -1206,12 +1198,19 @@
     traffic.publish(std::move(next));
 }
 
-void control_plane::begin_drain()
+void control_plane::begin_drain(time_point signalled)
 {
-    if (drain_started_at)
+    if (drain)
         return;
-    LOG4CPLUS_INFO(log, "event=drain instance=" << config.id.value);
-    drain_started_at = now();
+    drain = plan_drain(signalled, config.bounds.grace, options.drain);
+    const auto ms = [](time_point from, time_point to)
+    {
+        return std::chrono::duration_cast<milliseconds>(to - from).count();
+    };
+    LOG4CPLUS_INFO(log, "event=drain instance="
+                            << config.id.value
+                            << " handled_after_ms=" << ms(signalled, now())
+                            << " exit_in_ms=" << ms(now(), drain->stop_at));
     schedule_stop();
     publish();
     if (usage)
@@ -1225,11 +1224,10 @@
 
 void control_plane::schedule_stop()
 {
-    const auto grace = config.bounds.grace;
-    const auto at = [&](proxy::asio::steady_timer& timer, double fraction,
-                        std::function<void()> action)
+    const auto at = [](proxy::asio::steady_timer& timer, time_point when,
+                       std::function<void()> action)
     {
-        timer.expires_after(fraction_of(grace, fraction));
+        timer.expires_at(when);
         timer.async_wait(
             [action = std::move(action)](const proxy::error_code& ec)
             {
@@ -1237,15 +1235,14 @@
                     action();
             });
     };
-    at(accept_timer, options.accept_fraction,
+    at(accept_timer, drain->accept_until,
        [this]
        {
            traffic.stop_accepting(
                [this]
                { proxy::asio::post(io, [this] { end_run("drained"); }); });
        });
-    at(exit_timer, options.exit_fraction,
-       [this] { end_run("drain_timed_out"); });
+    at(exit_timer, drain->stop_at, [this] { end_run("drain_timed_out"); });
 }
 
 void control_plane::end_run(std::string_view event)
@@ -1253,7 +1250,7 @@
     if (std::exchange(ending, true))
         return;
     const auto age =
-        std::chrono::duration_cast<milliseconds>(now() - *drain_started_at);
+        std::chrono::duration_cast<milliseconds>(now() - drain->signalled);
     LOG4CPLUS_INFO(log, "event=" << event << " ms=" << age.count());
     const auto stop = [this]
     {
@@ -1288,19 +1285,12 @@
     reload_settings();
 }
 
-void control_plane::wait_for_signals()
+void control_plane::handle_signal(int number, time_point noticed)
 {
-    signals.async_wait(
-        [this](const proxy::error_code& ec, int number)
-        {
-            if (ec)
-                return;
-            if (number != SIGHUP)
-                begin_drain();
-            else if (reload_settings)
-                reload_settings();
-            wait_for_signals();
-        });
+    if (number != SIGHUP)
+        begin_drain(noticed);
+    else if (reload_settings)
+        reload_settings();
 }
 
 } // namespace parsleyplank::edge
--- a/src/edge/control_plane.hpp
+++ b/src/edge/control_plane.hpp
@@ -6,11 +6,13 @@
 // and publishes snapshots to the traffic thread.
 
 #include <parsleyplank/edge/change_relay.hpp>
+#include <parsleyplank/edge/drain_schedule.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/edge/rate_roster.hpp>
 #include <parsleyplank/edge/relay_tree.hpp>
 #include <parsleyplank/edge/revision_lag.hpp>
 #include <parsleyplank/edge/rollout_control.hpp>
+#include <parsleyplank/edge/signal_watch.hpp>
 #include <parsleyplank/edge/state_confirmation.hpp>
 #include <parsleyplank/edge/store_feed.hpp>
 #include <parsleyplank/edge/store_restore.hpp>
@@ -76,14 +78,7 @@
     milliseconds revision_answer_interval{250};
     // Shortest time between two digests to the instances that watch the store.
     milliseconds notice_interval{200};
-    // Fractions of the grace time after which a draining instance accepts no
-    // further connections, and after which the process exits even if
-    // connections are still open.
-    double accept_fraction = 0.4;
-    double exit_fraction = 0.93;
-    // Fraction of the grace time after which a request is passed on only if its
-    // deadline is before the exit.
-    double late_fraction = 0.5;
+    drain_options drain;
     // Maximum time to close the connections of callers before the process
     // exits.
     milliseconds close_wait{100};
@@ -208,13 +203,12 @@
     usage_surroundings
     usage_view(const std::vector<const peer_state*>& live) const;
 
-    void begin_drain();
-    // Sets the times at which this instance accepts no more connections and at
-    // which it exits.
+    void handle_signal(int number, time_point noticed);
+    void begin_drain(time_point signalled);
+    // Sets the timers that end the acceptance of connections and the process.
     void schedule_stop();
     // Logs the event, closes the connections of callers, then ends run().
     void end_run(std::string_view event);
-    void wait_for_signals();
     void reload_if_changed();
 
     const settings& config;
@@ -224,7 +218,7 @@
     control_options options;
     log4cplus::Logger log;
     proxy::asio::io_context io;
-    proxy::asio::signal_set signals;
+    signal_watch signals;
     proxy::asio::steady_timer tick_timer;
     proxy::asio::steady_timer accept_timer;
     proxy::asio::steady_timer exit_timer;
@@ -299,7 +293,8 @@
     std::filesystem::file_time_type settings_modified_at;
     std::function<void()> reload_settings;
 
-    std::optional<time_point> drain_started_at;
+    // Set once the instance drains.
+    std::optional<drain_schedule> drain;
     bool ending = false;
 
     // Before the worker, whose jobs access it.
--- a/test/support/whole_instance.hpp
+++ b/test/support/whole_instance.hpp
@@ -9,6 +9,7 @@
 #include <support/edge_fixture.hpp>
 #include <support/memory_store.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <map>
 #include <memory>
@@ -78,6 +79,11 @@
         return caller.receive().status;
     }
 
+    std::uint16_t callers_port() const
+    {
+        return config.callers.port;
+    }
+
     // Returns the body of the directory's answer to callers of the region.
     std::string look_up(const std::string& region) const
     {
@@ -103,8 +109,11 @@
 public:
     instance_fleet()
     {
-        adapter.decode_configuration = [](const std::string& /*value*/)
+        adapter.decode_configuration = [this](const std::string& /*value*/)
         {
+            decoding = true;
+            std::this_thread::sleep_for(decoding_time.load());
+            decoding = false;
             return make_configuration();
         };
         adapter.decode_server =
@@ -195,6 +204,10 @@
     std::shared_ptr<memory_store_data> data =
         std::make_shared<memory_store_data>();
     std::vector<std::unique_ptr<whole_instance>> instances;
+    // Time for which a configuration that arrives keeps a control thread busy,
+    // and whether one is being decoded.
+    std::atomic<milliseconds> decoding_time{milliseconds(0)};
+    std::atomic<bool> decoding{false};
 
 private:
     static steering::traffic_config make_configuration()
