Limit requests to the time that a stopping process has left

Cause: a request was passed on if its expected response time fitted into the rest of the grace time, but with the whole deadline of its caller. Nothing ended it when the estimate was wrong. Only requests received after half of the grace time were bounded by their deadline; up to 6 s of grace time, those are all that the platform does not excuse, and with longer ones they are not. The upload and the size of its body have no part in it.

Change: after a stop signal, servers are given a deadline that ends before the process does, so that they stop and report it while the response can be delivered. A call that is still open 150 ms before the exit, also one from before the signal, ends with 504 (outcome unknown), so that ready responses behind it on the connection are delivered. Retries have the same limits. The line of a request tells the time until the exit and until its deadline.

Ruled out: to refuse every request whose deadline is after the exit. A request of 0.3 s whose caller would wait 8 s is answered with 200 now, as before.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -1,3 +1,4 @@
+#include <parsleyplank/edge/drain_schedule.hpp>
 #include <parsleyplank/edge/fleet_view.hpp>
 #include <parsleyplank/edge/request_flow.hpp>
 #include <parsleyplank/edge/response_headers.hpp>
@@ -101,9 +102,16 @@
     return route->repeat == steering::repeat_rule::idempotent;
 }
 
+time_point request_flow::server_deadline() const
+{
+    const auto& stop_at = context.state.snapshot->stop_at;
+    return stop_at ? std::min(deadline, last_server_deadline(*stop_at))
+                   : deadline;
+}
+
 milliseconds request_flow::remaining() const
 {
-    return until(deadline);
+    return until(server_deadline());
 }
 
 void request_flow::set_deadline()
@@ -288,7 +296,7 @@
         return deadline > *stop_at;
     const std::chrono::duration<double> expected = placed.rank.expected;
     const auto factor = idempotent() ? 1.0 : state.options.ranking.slow_factor;
-    return now() + expected * factor > *stop_at;
+    return now() + expected * factor > last_server_deadline(*stop_at);
 }
 
 std::optional<server_placement> request_flow::place()
@@ -301,7 +309,8 @@
     }
     if (remaining() <= milliseconds(0))
     {
-        give_up(refusal_reason::deadline);
+        give_up(now() < deadline ? refusal_reason::draining
+                                 : refusal_reason::deadline);
         return std::nullopt;
     }
     const auto decision =
@@ -666,7 +675,9 @@
         fail(refusal_reason::backend_incomplete, status_bad_gateway);
         break;
     case call_outcome::timed_out:
-        fail(refusal_reason::deadline, status_timeout);
+        fail(now() < answer_by ? refusal_reason::draining
+                               : refusal_reason::deadline,
+             status_timeout);
         break;
     case call_outcome::answered:
     case call_outcome::cancelled:
@@ -750,6 +761,15 @@
     end(0, "cancelled", "cut_off");
 }
 
+std::string request_flow::describe_drain() const
+{
+    const auto& stop_at = context.state.snapshot->stop_at;
+    if (!stop_at || route == nullptr)
+        return {};
+    return " exit_in_ms=" + std::to_string(until(*stop_at).count()) +
+           " caller_left_ms=" + std::to_string(until(deadline).count());
+}
+
 void request_flow::end(unsigned status, std::string_view outcome,
                        std::string_view reason)
 {
@@ -793,7 +813,7 @@
                           std::to_string(int(return_at->in_time))
                     : "")
             << " config=" << (routing ? routing->config->version.value : 0)
-            << " state_age_ms=" << state_age.count()
+            << " state_age_ms=" << state_age.count() << describe_drain()
             << (last_detail.empty() ? "" : " detail=\"" + last_detail + "\""));
 }
 
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -117,7 +117,13 @@
     void end(unsigned status, std::string_view outcome,
              std::string_view reason);
     bool idempotent() const;
+    // Deadline for a server, which ends before this process does.
+    time_point server_deadline() const;
+    // Returns the time until server_deadline().
     milliseconds remaining() const;
+    // Returns the part of the log line that tells what time was left, if the
+    // instance drains.
+    std::string describe_drain() const;
 
     flow_context& context;
     proxy::exchange_ptr ex;
@@ -127,7 +133,7 @@
     const steering::traffic_customer* customer = nullptr;
     service_id service;
     std::string affinity_key;
-    // Deadline that is sent to backend servers.
+    // Earlier of the route's timeout and of caller_limit.
     time_point deadline;
     // Time until which the caller waits.
     time_point caller_limit;
--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -1,4 +1,5 @@
 #include <parsleyplank/core/log.hpp>
+#include <parsleyplank/edge/drain_schedule.hpp>
 #include <parsleyplank/edge/traffic_plane.hpp>
 
 #include <algorithm>
@@ -87,16 +88,18 @@
 
 void traffic_plane::publish(snapshot_ptr next)
 {
-    proxy::asio::post(io,
-                      [this, next = std::move(next)]
-                      {
-                          if (next->routing)
-                              listeners.front()->set_limits(
-                                  next->routing->config->limits);
-                          if (next->draining)
-                              listeners.front()->drain();
-                          adopt_snapshot(state, next, now());
-                      });
+    proxy::asio::post(
+        io,
+        [this, next = std::move(next)]
+        {
+            if (next->routing)
+                listeners.front()->set_limits(next->routing->config->limits);
+            if (next->draining)
+                listeners.front()->drain();
+            if (next->stop_at)
+                pool.end_calls_by(last_response_at(*next->stop_at));
+            adopt_snapshot(state, next, now());
+        });
 }
 
 void traffic_plane::note_control_run(boot_time at)
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -187,10 +187,24 @@
     idle.erase(it);
 }
 
+void upstream_pool::end_calls_by(time_point latest)
+{
+    registry->end = latest;
+    std::ranges::for_each(registry->calls,
+                          [&](upstream_call* it) { it->end_by(latest); });
+}
+
 upstream_call::upstream_call(upstream_pool& connections,
                              steering::server_ptr server)
-    : pool(connections), target(std::move(server)), timer(connections.context())
+    : pool(connections), registry(connections.registry),
+      target(std::move(server)), timer(connections.context())
 {
+    registry->calls.insert(this);
+}
+
+upstream_call::~upstream_call()
+{
+    registry->calls.erase(this);
 }
 
 void upstream_call::cancel()
@@ -198,6 +212,12 @@
     interrupt(call_outcome::cancelled);
 }
 
+void upstream_call::end_by(time_point latest)
+{
+    if (latest < due)
+        arm_timer(latest);
+}
+
 void upstream_call::interrupt(call_outcome reason)
 {
     if (interrupted)
@@ -214,7 +234,8 @@
 
 void upstream_call::arm_timer(time_point at)
 {
-    timer.expires_at(at);
+    due = std::min(at, registry->end);
+    timer.expires_at(due);
     timer.async_wait(
         [weak = weak_from_this()](const error_code& ec)
         {
@@ -392,6 +413,8 @@
     co_await read_response(result, expected,
                            message.method() == http::verb::head);
     timer.cancel();
+    // The connection may soon serve another call.
+    due = time_point::min();
     result.latency = elapsed_since(began);
     const bool return_to_pool = result.outcome == call_outcome::answered &&
                                 reusable && write_done &&
--- a/src/proxy/upstream_call.hpp
+++ b/src/proxy/upstream_call.hpp
@@ -10,6 +10,7 @@
 #include <parsleyplank/steering/server_registry.hpp>
 
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace parsleyplank::proxy
@@ -72,6 +73,15 @@
 
 using upstream_connection_ptr = std::shared_ptr<upstream_connection>;
 
+class upstream_call;
+
+// Calls in progress, and the time by which they end.
+struct call_registry
+{
+    std::unordered_set<upstream_call*> calls;
+    time_point end = time_point::max();
+};
+
 // Pool of idle connections, by backend server.
 class upstream_pool
 {
@@ -102,12 +112,20 @@
     // Closes all idle connections to a server.
     void drop(const backend_server_id& server);
 
+    // Lets each call that is in progress or begins later time out by then.
+    void end_calls_by(time_point latest);
+
     asio::io_context& context() const;
     const upstream_options& settings() const;
 
 private:
+    friend class upstream_call;
+
     asio::io_context& io;
     upstream_options options;
+    // Shared with the calls, which may outlive the pool.
+    const std::shared_ptr<call_registry> registry =
+        std::make_shared<call_registry>();
     std::unordered_map<backend_server_id, std::vector<upstream_connection_ptr>>
         idle;
     // Number of idle connections to all servers.
@@ -166,6 +184,10 @@
 {
 public:
     upstream_call(upstream_pool& connections, steering::server_ptr server);
+    ~upstream_call();
+
+    upstream_call(const upstream_call&) = delete;
+    upstream_call& operator=(const upstream_call&) = delete;
 
     // Sends the request and waits for the response until the deadline. A
     // request that is not `repeatable` reuses only recently used connections.
@@ -180,6 +202,9 @@
     // processing the request.
     void cancel();
 
+    // Lets the call time out by then, if it would last longer.
+    void end_by(time_point latest);
+
 private:
     asio::awaitable<bool> connect(call_result& result);
     asio::awaitable<void> read_response(call_result& result,
@@ -189,6 +214,7 @@
                                              memory_reservation& memory);
     memory_reservation_ptr reserve_memory();
     void begin_write();
+    // Lets the call time out then, or when the pool ends all calls.
     void arm_timer(time_point at);
     // Closes the connection and records the reason; only the first one counts.
     void interrupt(call_outcome reason);
@@ -196,6 +222,7 @@
     call_outcome outcome_or(call_outcome otherwise) const;
 
     upstream_pool& pool;
+    const std::shared_ptr<call_registry> registry;
     steering::server_ptr target;
     upstream_connection_ptr connection;
     request_view message;
@@ -203,6 +230,8 @@
     // Parser of the response that is read; null if none is.
     response_parser* reading = nullptr;
     asio::steady_timer timer;
+    // Time at which the call times out.
+    time_point due = time_point::max();
     std::optional<call_outcome> interrupted;
     bool write_done = false;
     bool reusable = true;
