parsleyplank-entry: wait for open requests in the last phase of a drain

A request whose route has a deadline of more than 5 s, and that came just before new ones were refused, was cut off 5 s later, whatever its deadline.

Cause: the last phase of the drain had a fixed limit of 5 s, while deadlines are set route by route.

Change: the phase lasts until no request is open or the deadlines of the open ones, by which they are answered, have passed.

Evidence: entry_drain_end::open_requests_are_answered_first fails with the former condition and passes now. No process was run with such a route.

--- a/src/entry/node.cpp
+++ b/src/entry/node.cpp
@@ -1,5 +1,6 @@
 #include <parsleyplank/core/log.hpp>
 #include <parsleyplank/entry/caller_handler.hpp>
+#include <parsleyplank/entry/drain_end.hpp>
 #include <parsleyplank/entry/lookup_instances.hpp>
 #include <parsleyplank/entry/node.hpp>
 #include <parsleyplank/entry/status_report.hpp>
@@ -7,7 +8,9 @@
 #include <parsleyplank/store/http_kv_store.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 namespace parsleyplank::entry
 {
@@ -27,7 +30,8 @@
 // Loans of slots, which last 15 s, have to end before the share can be handed
 // over.
 constexpr milliseconds finish_limit{20'000};
-// Longest wait for requests that came just before new ones were refused.
+// Wait for requests that came just before new ones were refused. Those whose
+// deadlines are later are waited for as well.
 constexpr milliseconds closing_limit{5'000};
 // Longest wait for callers to receive their responses before the process exits.
 constexpr milliseconds receive_limit{30'000};
@@ -369,8 +373,7 @@
         enter_finishing();
     else if (phase == drain_phase::finishing && (drained() || time_over))
         enter_closing();
-    else if (phase == drain_phase::closing &&
-             (flow->active.empty() || time_over))
+    else if (phase == drain_phase::closing && closing_ended())
     {
         LOG4CPLUS_INFO(node_log(), "Drained with " << flow->active.size()
                                                    << " requests left.");
@@ -378,6 +381,14 @@
     }
 }
 
+bool node::closing_ended() const
+{
+    std::vector<time_point> deadlines;
+    std::ranges::transform(flow->active, std::back_inserter(deadlines),
+                           [](const auto& it) { return it.second.deadline; });
+    return closing_has_ended(phase_ends, deadlines, loop.now());
+}
+
 // A request that was posted before refusing was set is decided on before the
 // next step, so that none is left in a loop that has stopped.
 void node::enter_closing()
--- a/src/entry/node.hpp
+++ b/src/entry/node.hpp
@@ -56,6 +56,7 @@
     void step_drain();
     void enter_finishing();
     void enter_closing();
+    bool closing_ended() const;
     bool drained() const;
 
     void handle_caller(dataplane::inbound_request in,
