--- a/test/process/stop_soak.sh
+++ b/test/process/stop_soak.sh
@@ -7,10 +7,17 @@
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 export EDGE=$build/apps/parsleyplank-edge/parsleyplank-edge
-for seed in 1 2; do
-  "$build/test/soak/stop-soak" "$dir/$seed" "$seed" 3 2 || {
+# soak SEED [HABIT] [GRACE_MS]
+soak() {
+  local seed=$1
+  shift
+  "$build/test/soak/stop-soak" "$dir/$seed" "$seed" 3 2 "$@" || {
     grep -v ' excused' "$dir/$seed/record.txt"
     grep -h 'event=\(requests_cut_off\|drain\)' "$dir/$seed"/edge-*.log
     exit 1
   }
-done
+}
+soak 1
+soak 2
+# Requests that outlast a long grace time, which were passed on and cut off.
+soak 4 all 10000
