--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -438,6 +438,20 @@
                        boot_now());
 }
 
+bool request_flow::ended_by_stop(const proxy::call_result& result) const
+{
+    // Servers are told their deadline in whole milliseconds, rounded down.
+    constexpr milliseconds resolution{1};
+    const auto& stop_at = context.state.snapshot->stop_at;
+    const auto at = now();
+    if (!stop_at || at + resolution < last_server_deadline(*stop_at) ||
+        at >= answer_by)
+        return false;
+    return result.outcome == proxy::call_outcome::timed_out ||
+           (result.outcome == proxy::call_outcome::answered &&
+            result.response.result_int() == status_timeout);
+}
+
 void request_flow::record_call(const server_placement& placed,
                                const proxy::call_result& result)
 {
@@ -445,6 +459,8 @@
     auto& load = context.state.loads[placed.server->id];
     if (result.connect_time)
         load.round_trip = *result.connect_time;
+    if (ended_by_stop(result))
+        return;
     auto verdict = steering::request_result::neutral;
     if (result.outcome == call_outcome::answered)
         verdict = record_answer(placed, result);
@@ -675,8 +691,8 @@
         fail(refusal_reason::backend_incomplete, status_bad_gateway);
         break;
     case call_outcome::timed_out:
-        fail(now() < answer_by ? refusal_reason::draining
-                               : refusal_reason::deadline,
+        fail(ended_by_stop(result) ? refusal_reason::draining
+                                   : refusal_reason::deadline,
              status_timeout);
         break;
     case call_outcome::answered:
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -86,6 +86,9 @@
     // Counts the send for the customer, if usage is accounted for.
     std::optional<counted_send>
     count_send_usage(const server_placement& placed);
+    // Returns whether the call ended because this process is about to exit,
+    // which says nothing about the server.
+    bool ended_by_stop(const proxy::call_result& result) const;
     // Updates the state of the server with the result of a call.
     void record_call(const server_placement& placed,
                      const proxy::call_result& result);
--- a/test/failure/edge_stop_limits.cpp
+++ b/test/failure/edge_stop_limits.cpp
@@ -7,6 +7,7 @@
 #include <support/gate.hpp>
 
 #include <atomic>
+#include <thread>
 
 using namespace parsleyplank;
 using namespace parsleyplank::test;
@@ -36,6 +37,8 @@
     CPPUNIT_TEST(an_order_at_a_silent_server_is_not_reported_as_not_run);
     CPPUNIT_TEST(a_request_from_before_the_stop_does_not_hold_ready_responses);
     CPPUNIT_TEST(a_request_in_the_last_moment_is_refused);
+    CPPUNIT_TEST(a_stop_does_not_count_against_a_version);
+    CPPUNIT_TEST(a_silent_server_does_not_count_against_its_version);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<edge_fixture> edge;
@@ -62,6 +65,21 @@
         edge->publish();
     }
 
+    // Returns the failures of all versions.
+    std::uint64_t count_failures()
+    {
+        mailbox<std::uint64_t> failures;
+        edge->plane->collect(
+            [&](const edge::traffic_report& report)
+            {
+                std::uint64_t sum = 0;
+                for (const auto& [rollout, tally] : report.tallies)
+                    sum += tally.target.bad + tally.others.bad;
+                failures.put(sum);
+            });
+        return failures.take();
+    }
+
     raw_response send(const std::string& method, const std::string& path) const
     {
         raw_connection caller(edge->config.callers.port);
@@ -178,6 +196,37 @@
         CPPUNIT_ASSERT(!header_of(response.head, "Retry-After").empty());
         CPPUNIT_ASSERT(told.empty());
     }
+
+    // Guards against a good version that is rolled back because its servers
+    // stopped at the deadline of an instance that was about to exit.
+    void a_stop_does_not_count_against_a_version()
+    {
+        edge->versions[service_id("parts")] = {
+            {}, version_id("v2"), share_ppm{0}, true};
+        serve(
+            [](const std::string& request)
+            {
+                const auto left =
+                    header_of(request, "Parsleyplank-Deadline-Ms");
+                std::this_thread::sleep_for(milliseconds(std::stoi(left)));
+                return scripted_response{
+                    http_text("504 Gateway Timeout", "late")};
+            });
+        stop_in(milliseconds(2'000));
+        CPPUNIT_ASSERT_EQUAL(504, send("GET", "/read/1").status);
+        CPPUNIT_ASSERT(now() < *edge->stop_at);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), count_failures());
+    }
+
+    void a_silent_server_does_not_count_against_its_version()
+    {
+        edge->versions[service_id("parts")] = {
+            {}, version_id("v2"), share_ppm{0}, true};
+        serve(silence);
+        stop_in(milliseconds(2'000));
+        CPPUNIT_ASSERT_EQUAL(504, send("GET", "/read/1").status);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), count_failures());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(edge_stop_limits);
--- a/test/support/edge_fixture.hpp
+++ b/test/support/edge_fixture.hpp
@@ -132,6 +132,7 @@
         next->stop_at = stop_at;
         next->late_from = late_from;
         next->token_peers = next->members;
+        next->versions = versions;
         plane->publish(next);
     }
 
@@ -160,6 +161,7 @@
     std::optional<time_point> stop_at;
     // Time from which requests must end before that by their deadlines.
     std::optional<time_point> late_from;
+    std::unordered_map<service_id, edge::version_policy> versions;
     edge::adapter adapter;
     telemetry::metrics counters;
     std::vector<std::unique_ptr<raw_server>> servers;
