--- a/review/standin-3/kit.cpp
+++ b/review/standin-3/kit.cpp
@@ -13,6 +13,7 @@
 #include <cctype>
 #include <csignal>
 #include <cstdlib>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 
@@ -238,12 +239,18 @@
 
 std::uint16_t find_free_ports(const std::string& ip, int count)
 {
+    // Below the ports that connections take by themselves.
+    constexpr int first_port = 10'000;
+    constexpr int last_port = 30'000;
     constexpr int tries = 200;
+    std::random_device draw;
+    std::uniform_int_distribution<int> ports(first_port, last_port);
     for (int n = 0; n < tries; ++n)
     {
-        std::vector<int> held{open_listener({ip, 0})};
-        const auto first = port_of(held.front());
-        for (int k = 1; k < count && held.back() >= 0; ++k)
+        const auto first = ports(draw);
+        std::vector<int> held;
+        held.reserve(static_cast<std::size_t>(count));
+        for (int k = 0; k < count; ++k)
             held.push_back(
                 open_listener({ip, static_cast<std::uint16_t>(first + k)}));
         const bool free = std::ranges::count(held, -1) == 0;
@@ -254,7 +261,7 @@
                                       ::close(fd);
                               });
         if (free)
-            return first;
+            return static_cast<std::uint16_t>(first);
     }
     throw std::runtime_error("no free ports at " + ip);
 }
@@ -378,6 +385,7 @@
     ::shutdown(fd, SHUT_RDWR);
     acceptor.join();
     ::close(fd);
+    std::ranges::for_each(fillers, [](int it) { ::close(it); });
     {
         const std::lock_guard lock(mutex);
         for (const auto& it : open)
@@ -392,10 +400,33 @@
     return bound;
 }
 
+void listener::fall_silent()
+{
+    // Linux drops the opening packets once the queue is full.
+    constexpr int enough = 8;
+    silent = true;
+    ::listen(fd, 0);
+    const auto at = to_sockaddr(bound);
+    for (int n = 0; n < enough; ++n)
+    {
+        fillers.push_back(
+            ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+        // Those that find the queue full do not complete.
+        static_cast<void>(::connect(
+            fillers.back(), reinterpret_cast<const sockaddr*>(&at), sizeof at));
+    }
+}
+
 void listener::accept_connections()
 {
+    constexpr milliseconds interval{10};
     while (!stopping)
     {
+        if (silent)
+        {
+            std::this_thread::sleep_for(interval);
+            continue;
+        }
         const int accepted = ::accept4(fd, nullptr, nullptr, SOCK_CLOEXEC);
         if (accepted < 0)
             continue;
@@ -658,17 +689,18 @@
 
 json to_json(const server_entry& entry)
 {
-    return {{"address", to_string(entry.where)},
-            {"born", entry.born},
-            {"info",
-             {{"service", entry.service},
-              {"version", entry.version},
-              {"zone", entry.zone},
-              {"capacity", entry.capacity}}},
-            {"status",
-             {{"state", entry.state},
-              {"sequence", entry.sequence},
-              {"warmupLeft", "0ms"}}}};
+    return {
+        {"address", to_string(entry.where)},
+        {"born", entry.born},
+        {"info",
+         {{"service", entry.service},
+          {"version", entry.version},
+          {"zone", entry.zone},
+          {"capacity", entry.capacity}}},
+        {"status",
+         {{"state", entry.state},
+          {"sequence", entry.sequence},
+          {"warmupLeft", std::to_string(entry.warmup_left.count()) + "ms"}}}};
 }
 
 server::server(platform_store& store, server_entry described,
@@ -694,6 +726,12 @@
     front.reset();
 }
 
+void server::fall_silent()
+{
+    silent = true;
+    front->fall_silent();
+}
+
 const server_entry& server::entry() const
 {
     return self;
@@ -704,6 +742,8 @@
     constexpr milliseconds idle{60'000};
     while (const auto call = read_request(peer, idle))
     {
+        if (silent)
+            continue;
         const auto expected =
             find_field(call->fields, "parsleyplank-expected-instance");
         if (!expected.empty() && expected != self.id)
@@ -719,7 +759,7 @@
             continue;
         }
         const auto bytes = respond(*call, peer);
-        if (!bytes || !peer.send(*bytes))
+        if (!silent && (!bytes || !peer.send(*bytes)))
             return;
     }
 }
--- a/review/standin-3/kit.hpp
+++ b/review/standin-3/kit.hpp
@@ -107,6 +107,9 @@
     listener& operator=(const listener&) = delete;
 
     const address& where() const;
+    // From now on, connections are neither accepted nor refused, as those to a
+    // machine without power.
+    void fall_silent();
 
 private:
     void accept_connections();
@@ -115,6 +118,9 @@
     int fd = -1;
     address bound;
     std::atomic<bool> stopping = false;
+    std::atomic<bool> silent = false;
+    // Connections of its own that fill the queue.
+    std::vector<int> fillers;
     std::mutex mutex;
     std::vector<std::weak_ptr<connection>> open;
     std::vector<std::thread> threads;
@@ -194,6 +200,7 @@
     std::int64_t born = 0;
     std::int64_t sequence = 1;
     std::string state = "ready";
+    milliseconds warmup_left{0};
 };
 
 json to_json(const server_entry& entry);
@@ -215,6 +222,8 @@
 
     // Ends the server as a crash does: its connections and its port close.
     void crash();
+    // Loses power: neither answers nor accepts connections any more.
+    void fall_silent();
     const server_entry& entry() const;
 
 private:
@@ -223,6 +232,7 @@
     platform_store& registry;
     server_entry self;
     server_handler respond;
+    std::atomic<bool> silent = false;
     std::unique_ptr<listener> front;
 };
 
