Pass a success on only with the seal and the id of its request

Cause: upstream_call compared the echoed id only. A response without one was believed on a new connection, which orders mostly use, and nothing in the edge knew the seal. A message with the id and without the seal passed on each connection, and a 302 or 404 without an id on a new one. All of them counted as successes of their server and of its version, and what they said of its load, limits and end was used.

Now proxy/response_match decides by the header. A success needs the id and a seal that reaches the caller. Without an id, only a refusal, a failure of the server or a sealed response on a new connection is believed, as before. A call ends as lost when the header shows that no response can follow: an order gets 502 and is not sent again, a read goes to another server, and the server and its version have a failure. The name of the header comes from platform/; servers of a platform without one are served as before. parsleyplank_response_faults_total counts the messages by fault.

Test: edge_spoiled_responses, proxy_response_match.

--- a/src/edge/adapter.hpp
+++ b/src/edge/adapter.hpp
@@ -38,6 +38,9 @@
     // the request, and the customer that owns the API key.
     std::string expected_server;
     std::string customer;
+    // Header of responses from backend servers with which each success proves
+    // that it comes from the server itself; empty if the platform has none.
+    std::string response_seal;
     // Headers of responses from backend servers: the load as
     // "running,waiting,slots"; the requests per second that the server takes
     // from all instances together; a marker that the server is leaving; with
--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -404,11 +404,11 @@
     const auto counted = count_send_usage(placed);
     call = std::make_shared<proxy::upstream_call>(context.pool, server);
     // Named variables, because GCC 12 destroys temporaries of a co_await twice.
-    proxy::correlation echo{context.platform.headers.request_id,
-                            ex->request_id};
+    proxy::expected_response expected{marks_of(context.platform.headers),
+                                      ex->request_id, answer_by};
     std::shared_ptr<const void> body_owner = ex;
     auto result = co_await call->run(std::move(request), std::move(body_owner),
-                                     idempotent(), std::move(echo), answer_by);
+                                     idempotent(), std::move(expected));
     call.reset();
     auto& load = state.loads[server->id];
     load.in_flight.erase(number);
@@ -607,6 +607,8 @@
 {
     last_detail = result.detail;
     server_latency = result.latency;
+    if (result.fault)
+        context.counters.count_response_fault(to_string(*result.fault));
     if (result.outcome == proxy::call_outcome::answered)
         return handle_answer(placed, result);
     return handle_failure(placed, result);
@@ -686,7 +688,10 @@
         break;
     case call_outcome::lost:
         may_have_run = true;
-        if (idempotent() && may_retry(retry_reason::connection_lost, true))
+        if (idempotent() &&
+            may_retry(result.fault ? retry_reason::incomplete_response
+                                   : retry_reason::connection_lost,
+                      true))
             return next_step::try_again;
         fail(refusal_reason::backend_incomplete, status_bad_gateway);
         break;
--- a/src/edge/response_headers.cpp
+++ b/src/edge/response_headers.cpp
@@ -61,6 +61,11 @@
 
 } // namespace
 
+proxy::response_marks marks_of(const header_names& names)
+{
+    return {names.request_id, names.response_seal, names.not_executed};
+}
+
 std::optional<steering::reported_load>
 read_load(const header_names& names, const proxy::response_message& response)
 {
--- a/src/edge/response_headers.hpp
+++ b/src/edge/response_headers.hpp
@@ -4,7 +4,7 @@
 // Reads what a backend server says of itself in the headers of its responses.
 
 #include <parsleyplank/edge/adapter.hpp>
-#include <parsleyplank/proxy/messages.hpp>
+#include <parsleyplank/proxy/response_match.hpp>
 #include <parsleyplank/steering/server_load.hpp>
 #include <parsleyplank/steering/server_notice.hpp>
 
@@ -14,6 +14,9 @@
 namespace parsleyplank::edge
 {
 
+// Returns the headers by which a response is recognised.
+proxy::response_marks marks_of(const header_names& names);
+
 // Returns the load that the response reports, or nullopt if there is none or it
 // can't be read.
 std::optional<steering::reported_load>
--- a/src/proxy/messages.cpp
+++ b/src/proxy/messages.cpp
@@ -1,5 +1,6 @@
 #include <parsleyplank/proxy/messages.hpp>
 
+#include <algorithm>
 #include <array>
 #include <vector>
 
@@ -14,6 +15,17 @@
     return {text.data(), text.size()};
 }
 
+// Returns the elements of the Connection header.
+std::vector<std::string> connection_options(const http::fields& fields)
+{
+    std::vector<std::string> found;
+    const auto range = fields.equal_range(http::field::connection);
+    for (auto it = range.first; it != range.second; ++it)
+        for (const auto& token : http::token_list(it->value()))
+            found.emplace_back(token.data(), token.size());
+    return found;
+}
+
 } // namespace
 
 void respond(exchange& ex, response_message response)
@@ -52,13 +64,16 @@
     return {it->value().data(), it->value().size()};
 }
 
+bool is_connection_header(const http::fields& fields, std::string_view name)
+{
+    return std::ranges::any_of(connection_options(fields),
+                               [&](const std::string& it)
+                               { return beast::iequals(it, to_beast(name)); });
+}
+
 void remove_connection_headers(http::fields& fields)
 {
-    std::vector<std::string> named;
-    const auto range = fields.equal_range(http::field::connection);
-    for (auto it = range.first; it != range.second; ++it)
-        for (const auto& token : http::token_list(it->value()))
-            named.emplace_back(token.data(), token.size());
+    const auto named = connection_options(fields);
     for (const auto& name : named)
         fields.erase(name);
     constexpr std::array fixed{http::field::connection,
--- a/src/proxy/messages.hpp
+++ b/src/proxy/messages.hpp
@@ -89,6 +89,10 @@
 std::string_view header_value(const http::fields& fields,
                               std::string_view name);
 
+// Returns whether the Connection header lists this header, which therefore
+// concerns only the connection.
+bool is_connection_header(const http::fields& fields, std::string_view name);
+
 // Removes the hop-by-hop headers, including those that the Connection header
 // lists.
 void remove_connection_headers(http::fields& fields);
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -96,6 +96,11 @@
     return "cancelled";
 }
 
+std::string_view to_string(response_fault fault)
+{
+    return fault == response_fault::no_id ? "no_id" : "no_seal";
+}
+
 upstream_pool::upstream_pool(asio::io_context& context,
                              upstream_options pool_options)
     : io(context), options(std::move(pool_options))
@@ -304,18 +309,25 @@
         });
 }
 
-asio::awaitable<error_code>
-upstream_call::read_message(response_parser& parser, memory_reservation& memory)
+asio::awaitable<error_code> upstream_call::read_header(response_parser& parser)
 {
-    auto& socket = connection->socket;
-    auto& buffer = connection->buffer;
-    buffer.reserve(read_buffer_bytes);
+    connection->buffer.reserve(read_buffer_bytes);
     error_code ec;
-    co_await http::async_read_header(socket, buffer, parser, store_error(ec));
+    co_await http::async_read_header(connection->socket, connection->buffer,
+                                     parser, store_error(ec));
     if (!ec && !is_known_status(parser.get().result_int()))
         ec = http::error::bad_status;
+    co_return ec;
+}
+
+asio::awaitable<error_code> upstream_call::read_body(response_parser& parser,
+                                                     memory_reservation& memory)
+{
+    auto& socket = connection->socket;
+    auto& buffer = connection->buffer;
+    error_code ec;
     const auto length = parser.content_length();
-    if (!ec && length && *length > read_buffer_bytes)
+    if (length && *length > read_buffer_bytes)
         buffer.reserve(body_read_buffer_bytes);
     while (!ec && !interrupted && !parser.is_done())
     {
@@ -333,9 +345,9 @@
     co_return ec;
 }
 
-asio::awaitable<void> upstream_call::read_response(call_result& result,
-                                                   const correlation& expected,
-                                                   bool head)
+asio::awaitable<void>
+upstream_call::read_response(call_result& result,
+                             const expected_response& expected, bool head)
 {
     int strays = 0;
     int informational = 0;
@@ -348,7 +360,30 @@
         parser.skip(head);
         const auto memory = reserve_memory();
         reading = &parser;
-        const auto ec = co_await read_message(parser, *memory);
+        auto match = response_match::answer;
+        auto ec = co_await read_header(parser);
+        const bool is_final =
+            !ec && !is_informational(parser.get().result_int());
+        if (is_final)
+            match = match_response(parser.get(), expected.marks, expected.id,
+                                   !result.reused && strays == 0);
+        // Nothing that follows can be the response.
+        if (match == response_match::no_seal ||
+            (match == response_match::no_id && !result.reused))
+        {
+            reading = nullptr;
+            result.outcome = outcome_or(call_outcome::lost);
+            result.fault = match == response_match::no_seal
+                               ? response_fault::no_seal
+                               : response_fault::no_id;
+            result.detail = match == response_match::no_seal
+                                ? "read: a success without the seal"
+                                : "read: a message without the id of the "
+                                  "request";
+            co_return;
+        }
+        if (!ec)
+            ec = co_await read_body(parser, *memory);
         reading = nullptr;
         if (ec || interrupted)
         {
@@ -359,17 +394,12 @@
         }
         reusable = reusable && parser.keep_alive() && !parser.get().need_eof();
         auto response = parser.release();
-        if (is_informational(response.result_int()))
+        if (!is_final)
         {
             ++informational;
             continue;
         }
-        const auto echoed = header_value(response, expected.header);
-        // A response without the echoed header is accepted only on a new
-        // connection, which has carried no other request.
-        const bool matches =
-            echoed == expected.value || (echoed.empty() && !result.reused);
-        if (matches)
+        if (match == response_match::answer)
         {
             memory->keep();
             result.outcome = call_outcome::answered;
@@ -388,7 +418,7 @@
 
 asio::awaitable<call_result>
 upstream_call::run(request_view request, std::shared_ptr<const void> body_owner,
-                   bool repeatable, correlation expected, time_point deadline)
+                   bool repeatable, expected_response expected)
 {
     const auto self = shared_from_this();
     call_result result;
@@ -403,11 +433,12 @@
     result.reused = connection != nullptr;
     if (!connection)
     {
-        arm_timer(std::min(deadline, now() + pool.settings().connect_timeout));
+        arm_timer(std::min(expected.deadline,
+                           now() + pool.settings().connect_timeout));
         if (!co_await connect(result))
             co_return result;
     }
-    arm_timer(deadline);
+    arm_timer(expected.deadline);
     const auto began = now();
     begin_write();
     co_await read_response(result, expected,
--- a/src/proxy/upstream_call.hpp
+++ b/src/proxy/upstream_call.hpp
@@ -7,6 +7,7 @@
 
 #include <parsleyplank/proxy/descriptor_pool.hpp>
 #include <parsleyplank/proxy/messages.hpp>
+#include <parsleyplank/proxy/response_match.hpp>
 #include <parsleyplank/steering/server_registry.hpp>
 
 #include <unordered_map>
@@ -153,6 +154,18 @@
 
 std::string_view to_string(call_outcome outcome);
 
+// Why a message that came in place of a response is none.
+enum class response_fault
+{
+    // It names no request.
+    no_id,
+    // It is a success without the seal.
+    no_seal
+};
+
+// Returns "no_id" or "no_seal".
+std::string_view to_string(response_fault fault);
+
 struct call_result
 {
     call_outcome outcome = call_outcome::not_sent;
@@ -166,15 +179,19 @@
     // Time from the start of the write to the end of the response or the
     // failure.
     std::chrono::microseconds latency{0};
+    // Set if the call is lost because of such a message.
+    std::optional<response_fault> fault;
     // Reason for a missing response.
     std::string detail;
 };
 
-// Header and value that a response must echo to be matched to its request.
-struct correlation
+// The response that a call waits for.
+struct expected_response
 {
-    std::string header;
-    std::string value;
+    response_marks marks;
+    // Id of the request; empty if it has none.
+    std::string id;
+    time_point deadline;
 };
 
 using response_parser = http::response_parser<http::string_body>;
@@ -195,8 +212,8 @@
     // most once.
     asio::awaitable<call_result> run(request_view request,
                                      std::shared_ptr<const void> body_owner,
-                                     bool repeatable, correlation expected,
-                                     time_point deadline);
+                                     bool repeatable,
+                                     expected_response expected);
 
     // Aborts the call by closing its connection, so that the server can stop
     // processing the request.
@@ -208,10 +225,12 @@
 private:
     asio::awaitable<bool> connect(call_result& result);
     asio::awaitable<void> read_response(call_result& result,
-                                        const correlation& expected, bool head);
-    // Reads one response and reserves memory for its body as it grows.
-    asio::awaitable<error_code> read_message(response_parser& parser,
-                                             memory_reservation& memory);
+                                        const expected_response& expected,
+                                        bool head);
+    asio::awaitable<error_code> read_header(response_parser& parser);
+    // Reads the body and reserves memory for it as it grows.
+    asio::awaitable<error_code> read_body(response_parser& parser,
+                                          memory_reservation& memory);
     memory_reservation_ptr reserve_memory();
     void begin_write();
     // Lets the call time out then, or when the pool ends all calls.
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -46,6 +46,9 @@
       limit_changes(
           make_counters(registry, "parsleyplank_server_limit_changes_total",
                         "Changes of learned server limits, by direction.")),
+      response_faults(make_counters(
+          registry, "parsleyplank_response_faults_total",
+          "Messages of backend servers that are no response, by fault.")),
       lookups(make_counters(registry, "parsleyplank_lookups_total",
                             "Look-ups answered.")
                   .Add({})),
@@ -116,6 +119,11 @@
     limit_changes.Add({{"direction", lowered ? "down" : "up"}}).Increment();
 }
 
+void metrics::count_response_fault(std::string_view fault)
+{
+    response_faults.Add({{"fault", std::string(fault)}}).Increment();
+}
+
 void metrics::count_lookup()
 {
     lookups.Increment();
--- a/src/telemetry/metrics.hpp
+++ b/src/telemetry/metrics.hpp
@@ -16,6 +16,7 @@
 #include <chrono>
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace parsleyplank::telemetry
 {
@@ -68,6 +69,10 @@
     // Counts a change of the learned limit of a backend server.
     void count_limit_change(bool lowered);
 
+    // Counts a message of a backend server that is no response, by what it
+    // lacks.
+    void count_response_fault(std::string_view fault);
+
     // Counts a finished request of a route by outcome, with its duration.
     void count_request(const route_id& route, run_outcome outcome,
                        std::chrono::microseconds duration);
@@ -91,6 +96,7 @@
     prometheus::Family<prometheus::Counter>& customer_refusals;
     prometheus::Family<prometheus::Histogram>& durations;
     prometheus::Family<prometheus::Counter>& limit_changes;
+    prometheus::Family<prometheus::Counter>& response_faults;
     prometheus::Counter& lookups;
     prometheus::Counter& callers_gone;
     prometheus::Counter& unknown_values;
