Bound the wait behind a message that names no request

Callers of idempotent requests got 504 after their whole time limit when a server put bytes without an id in place of its response on a kept connection, though other servers were free; callers of orders waited as long for a response that could not come.

Cause: on a kept connection such a message may be a late response to an earlier request, so it was skipped, and the call went on waiting for its own until the deadline.

The wait is bounded now: 20 ms if the request can be sent to another server, else the time after which a server counts as unresponsive, so that a response behind a late one is still delivered. After that, a read goes to another server and an order gets 502. A refusal without an id counts as the server's refusal, with its Retry-After, but not as a proof that the request has not run: 502 if no other server takes it.

Test: six more cases of edge_spoiled_responses; five of them fail with the former rule put back into match_response (504 for 200 or 502), the sixth guards a response that comes 100 ms behind a late one and holds before, too.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -30,6 +30,9 @@
 // Maximum number of times that one request asks for a token if there is no
 // answer.
 constexpr int max_token_requests = 3;
+// Time in which the response may follow a message that names no request, if
+// the request could be sent to another server instead.
+constexpr milliseconds short_patience{20};
 // Maximum random time that is added to Retry-After, so that the retries of
 // refused callers are spread, and the default Retry-After.
 constexpr milliseconds retry_after_jitter{400};
@@ -404,8 +407,7 @@
     const auto counted = count_send_usage(placed);
     call = std::make_shared<proxy::upstream_call>(context.pool, server);
     // Named variables, because GCC 12 destroys temporaries of a co_await twice.
-    proxy::expected_response expected{marks_of(context.platform.headers),
-                                      ex->request_id, answer_by};
+    auto expected = make_expectation(placed);
     std::shared_ptr<const void> body_owner = ex;
     auto result = co_await call->run(std::move(request), std::move(body_owner),
                                      idempotent(), std::move(expected));
@@ -428,6 +430,27 @@
     co_return handle_result(placed, result);
 }
 
+bool request_flow::could_try_another() const
+{
+    return idempotent() && sends + 1 < route->max_attempts &&
+           std::ranges::any_of(
+               servers_of(context.state, service),
+               [&](const steering::server_ptr& it)
+               { return std::ranges::find(tried, it->id) == tried.end(); });
+}
+
+proxy::expected_response
+request_flow::make_expectation(const server_placement& placed) const
+{
+    const auto patience =
+        could_try_another()
+            ? short_patience
+            : steering::unresponsive_time(context.state.options.health,
+                                          placed.rank.expected);
+    return {marks_of(context.platform.headers), ex->request_id, answer_by,
+            patience};
+}
+
 std::optional<counted_send>
 request_flow::count_send_usage(const server_placement& placed)
 {
@@ -626,6 +649,9 @@
         !header_value(result.response, context.platform.headers.request_id)
              .empty();
     // It may be a late response to another request.
+    if ((refused || status == status_misdirected) && !echoes_id &&
+        result.reused)
+        may_have_run = true;
     if ((refused || status == status_misdirected) && !idempotent() &&
         !echoes_id)
     {
--- a/src/edge/request_flow.hpp
+++ b/src/edge/request_flow.hpp
@@ -77,6 +77,11 @@
     // Assumes a slow response for a request that must not be repeated.
     bool would_be_cut_off(const server_placement& placed) const;
     proxy::asio::awaitable<next_step> attempt(const server_placement& placed);
+    proxy::expected_response
+    make_expectation(const server_placement& placed) const;
+    // Returns whether the request may be sent to another server if its call,
+    // which is about to begin, fails.
+    bool could_try_another() const;
     next_step handle_result(const server_placement& placed,
                             proxy::call_result& result);
     next_step handle_answer(const server_placement& placed,
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -237,16 +237,18 @@
     return interrupted.value_or(otherwise);
 }
 
-void upstream_call::arm_timer(time_point at)
+void upstream_call::arm_timer(time_point at, call_outcome reason)
 {
+    if (registry->end < at)
+        reason = call_outcome::timed_out;
     due = std::min(at, registry->end);
     timer.expires_at(due);
     timer.async_wait(
-        [weak = weak_from_this()](const error_code& ec)
+        [weak = weak_from_this(), reason](const error_code& ec)
         {
             const auto self = weak.lock();
             if (!ec && self)
-                self->interrupt(call_outcome::timed_out);
+                self->interrupt(reason);
         });
 }
 
@@ -345,12 +347,42 @@
     co_return ec;
 }
 
+void upstream_call::limit_wait(const expected_response& expected)
+{
+    if (std::exchange(wait_limited, true))
+        return;
+    const auto latest = now() + expected.patience;
+    if (latest < due)
+        arm_timer(latest, call_outcome::lost);
+}
+
+void upstream_call::end_without_response(
+    call_result& result, std::string_view detail,
+    std::optional<response_message> refusal) const
+{
+    result.outcome = outcome_or(call_outcome::lost);
+    result.detail = detail;
+    if (!wait_limited || result.outcome != call_outcome::lost)
+        return;
+    if (refusal)
+    {
+        result.outcome = call_outcome::answered;
+        result.response = std::move(*refusal);
+        return;
+    }
+    result.fault = response_fault::no_id;
+    result.detail = "read: a message without the id of the request, then " +
+                    std::string(detail);
+}
+
 asio::awaitable<void>
 upstream_call::read_response(call_result& result,
                              const expected_response& expected, bool head)
 {
     int strays = 0;
     int informational = 0;
+    // Refusal that names no request, to be returned if no response follows it.
+    std::optional<response_message> refusal;
     while (strays <= max_stray_responses &&
            informational <= max_informational_responses)
     {
@@ -382,14 +414,17 @@
                                   "request";
             co_return;
         }
+        if (match == response_match::no_id)
+            limit_wait(expected);
         if (!ec)
             ec = co_await read_body(parser, *memory);
         reading = nullptr;
         if (ec || interrupted)
         {
-            result.outcome = outcome_or(call_outcome::lost);
-            result.detail =
-                "read: " + (ec ? ec.message() : "memory of the body reclaimed");
+            end_without_response(
+                result,
+                "read: " + (ec ? ec.message() : "memory of the body reclaimed"),
+                std::move(refusal));
             co_return;
         }
         reusable = reusable && parser.keep_alive() && !parser.get().need_eof();
@@ -407,13 +442,20 @@
             result.memory = memory;
             co_return;
         }
+        if (match == response_match::no_id &&
+            is_refusal(response, expected.marks))
+        {
+            response.body().clear();
+            refusal = std::move(response);
+        }
         reusable = false;
         ++strays;
     }
-    result.outcome = call_outcome::lost;
-    result.detail = strays > max_stray_responses
-                        ? "only responses to other requests"
-                        : "only informational responses";
+    end_without_response(result,
+                         strays > max_stray_responses
+                             ? "only responses to other requests"
+                             : "only informational responses",
+                         std::move(refusal));
 }
 
 asio::awaitable<call_result>
--- a/src/proxy/upstream_call.hpp
+++ b/src/proxy/upstream_call.hpp
@@ -192,6 +192,10 @@
     // Id of the request; empty if it has none.
     std::string id;
     time_point deadline;
+    // Time for which the call still waits after a message on a reused
+    // connection that names no request. The response may be behind it if it
+    // belongs to an earlier request.
+    milliseconds patience{0};
 };
 
 using response_parser = http::response_parser<http::string_body>;
@@ -231,10 +235,18 @@
     // Reads the body and reserves memory for it as it grows.
     asio::awaitable<error_code> read_body(response_parser& parser,
                                           memory_reservation& memory);
+    // Limits the wait for a response behind one that names no request.
+    void limit_wait(const expected_response& expected);
+    // Ends the call with the refusal, if the only messages on the connection
+    // were such that name no request, or as lost.
+    void end_without_response(call_result& result, std::string_view detail,
+                              std::optional<response_message> refusal) const;
     memory_reservation_ptr reserve_memory();
     void begin_write();
-    // Lets the call time out then, or when the pool ends all calls.
-    void arm_timer(time_point at);
+    // Lets the call end then for this reason, or time out when the pool ends
+    // all calls.
+    void arm_timer(time_point at,
+                   call_outcome reason = call_outcome::timed_out);
     // Closes the connection and records the reason; only the first one counts.
     void interrupt(call_outcome reason);
     // Returns the reason of an interruption, or `otherwise` if there was none.
@@ -249,8 +261,10 @@
     // Parser of the response that is read; null if none is.
     response_parser* reading = nullptr;
     asio::steady_timer timer;
-    // Time at which the call times out.
+    // Time at which the call ends.
     time_point due = time_point::max();
+    // Whether a message that names no request has limited the wait.
+    bool wait_limited = false;
     std::optional<call_outcome> interrupted;
     bool write_done = false;
     bool reusable = true;
--- a/src/steering/server_load.cpp
+++ b/src/steering/server_load.cpp
@@ -130,19 +130,25 @@
     return gap && *gap <= retention;
 }
 
+milliseconds unresponsive_time(const health_options& options,
+                               milliseconds expected)
+{
+    return std::max(options.min_unresponsive_time,
+                    std::chrono::ceil<milliseconds>(
+                        expected * options.unresponsive_factor));
+}
+
 bool is_unresponsive(const server_load& load, const health_options& options,
                      time_point now)
 {
-    return std::ranges::any_of(
-        load.in_flight,
-        [&](const auto& it)
-        {
-            const auto& [sent, expected] = it.second;
-            const auto bound = std::max<std::chrono::duration<double>>(
-                options.min_unresponsive_time,
-                expected * options.unresponsive_factor);
-            return load.last_received < sent && now - sent > bound;
-        });
+    return std::ranges::any_of(load.in_flight,
+                               [&](const auto& it)
+                               {
+                                   const auto& [sent, expected] = it.second;
+                                   return load.last_received < sent &&
+                                          now - sent > unresponsive_time(
+                                                           options, expected);
+                               });
 }
 
 bool is_ejected(const server_load& load, const health_options& options,
--- a/src/steering/server_load.hpp
+++ b/src/steering/server_load.hpp
@@ -159,6 +159,11 @@
 bool served_recently(const server_load& load, std::uint64_t object,
                      milliseconds retention, time_point now);
 
+// Returns the time without any data from the server after which a request of
+// this expected latency has waited too long.
+milliseconds unresponsive_time(const health_options& options,
+                               milliseconds expected);
+
 // Returns whether a request has waited too long without any data from the
 // server.
 bool is_unresponsive(const server_load& load, const health_options& options,
--- a/test/failure/edge_spoiled_responses.cpp
+++ b/test/failure/edge_spoiled_responses.cpp
@@ -58,6 +58,12 @@
     return {text, message.end == framing::close};
 }
 
+std::string refusal_without_id(const std::string& status)
+{
+    return "HTTP/1.1 " + status +
+           "\r\nParsleyplank-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
 class edge_spoiled_responses : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(edge_spoiled_responses);
@@ -66,10 +72,16 @@
     CPPUNIT_TEST(a_rejection_without_an_id_reaches_no_caller);
     CPPUNIT_TEST(informational_responses_need_no_seal);
     CPPUNIT_TEST(a_read_is_served_by_another_server);
+    CPPUNIT_TEST(a_read_on_a_kept_connection_does_not_wait_for_its_deadline);
+    CPPUNIT_TEST(an_order_on_a_kept_connection_is_neither_run_twice_nor_held);
     CPPUNIT_TEST(an_endless_body_without_a_seal_is_not_read);
     CPPUNIT_TEST(a_server_that_spoils_its_responses_is_ejected);
     CPPUNIT_TEST(a_spoiled_response_counts_against_its_version);
     CPPUNIT_TEST(what_a_spoiled_response_says_of_its_server_is_ignored);
+    CPPUNIT_TEST(a_response_behind_an_earlier_one_is_delivered);
+    CPPUNIT_TEST(a_read_is_sent_elsewhere_after_a_refusal_without_an_id);
+    CPPUNIT_TEST(a_refusal_without_an_id_leaves_the_outcome_open);
+    CPPUNIT_TEST(a_pause_asked_for_without_an_id_is_kept);
     CPPUNIT_TEST(servers_of_a_platform_without_seals_are_served);
     CPPUNIT_TEST_SUITE_END();
 
@@ -236,6 +248,44 @@
         }
     }
 
+    // Failure scenario: reads waited for a response behind the spoiled one
+    // until their deadline, though another server was free.
+    void a_read_on_a_kept_connection_does_not_wait_for_its_deadline()
+    {
+        add_server({}, 1);
+        add_server({}, 1);
+        add_sound_server();
+        add_sound_server();
+        edge->publish();
+        constexpr int reads = 20;
+        for (int n = 0; n < reads; ++n)
+            CPPUNIT_ASSERT_EQUAL(
+                std::string("sound"),
+                send("GET", "/read/" + std::to_string(n), std::to_string(n))
+                    .body);
+        CPPUNIT_ASSERT(seen > reads);
+    }
+
+    void an_order_on_a_kept_connection_is_neither_run_twice_nor_held()
+    {
+        for (const bool refuses : {false, true})
+        {
+            start();
+            add_server({refuses ? "503 Full" : "200 OK", framing::length, false,
+                        refuses ? "Parsleyplank-Not-Executed: 1\r\n" : ""},
+                       1);
+            edge->publish();
+            raw_connection caller(edge->config.callers.port);
+            for (const int status : {200, 502})
+            {
+                caller.send(
+                    edge_fixture::request("POST", "/order/1", "a", "", "body"));
+                CPPUNIT_ASSERT_EQUAL(status, caller.receive().status);
+            }
+            CPPUNIT_ASSERT_EQUAL(2, seen.load());
+        }
+    }
+
     // Bytes of a faulty server may come without end.
     void an_endless_body_without_a_seal_is_not_read()
     {
@@ -331,6 +381,98 @@
             }
     }
 
+    // A second response to an earlier request may come while this one is at
+    // work.
+    void a_response_behind_an_earlier_one_is_delivered()
+    {
+        for (const std::string method : {"POST", "GET"})
+            for (const bool has_id : {false, true})
+            {
+                start();
+                edge->add_server(
+                    [has_id,
+                     first = std::string()](const std::string& it) mutable
+                    {
+                        if (first.empty())
+                        {
+                            first = it;
+                            return scripted_response{echo_response(it, "own")};
+                        }
+                        const auto stray = has_id
+                                               ? echo_response(first, "stray")
+                                               : http_text("200 OK", "stray");
+                        return scripted_response{stray, false,
+                                                 echo_response(it, "own"),
+                                                 milliseconds(100)};
+                    });
+                edge->publish();
+                const std::string path =
+                    method == "GET" ? "/read/1" : "/order/1";
+                raw_connection caller(edge->config.callers.port);
+                for (const std::string id : {"first", "second"})
+                {
+                    caller.send(edge_fixture::request(
+                        method, path, id, "", method == "GET" ? "" : "body"));
+                    CPPUNIT_ASSERT_EQUAL(std::string("own"),
+                                         caller.receive().body);
+                }
+            }
+    }
+
+    void a_read_is_sent_elsewhere_after_a_refusal_without_an_id()
+    {
+        for (const std::string status : {"503 Full", "421 Misdirected"})
+            for (const int sound_before : {0, 1})
+            {
+                start();
+                for (int server = 0; server < 2; ++server)
+                    edge->add_server(
+                        [this, status, sound_before](const std::string& it)
+                        {
+                            const int n = seen++;
+                            return scripted_response{
+                                n == sound_before ? refusal_without_id(status)
+                                                  : echo_response(it, "sound")};
+                        });
+                edge->publish();
+                for (int n = 0; n <= sound_before; ++n)
+                    CPPUNIT_ASSERT_EQUAL(200, send("GET", "/read/1").status);
+                CPPUNIT_ASSERT_EQUAL(sound_before + 2, seen.load());
+            }
+    }
+
+    // On a kept connection, the refusal may be one of an earlier request.
+    void a_refusal_without_an_id_leaves_the_outcome_open()
+    {
+        edge->add_server(
+            [this](const std::string& it)
+            {
+                return scripted_response{seen++ == 0
+                                             ? echo_response(it, "sound")
+                                             : refusal_without_id("503 Full")};
+            });
+        edge->publish();
+        CPPUNIT_ASSERT_EQUAL(200, send("GET", "/read/1").status);
+        CPPUNIT_ASSERT_EQUAL(502, send("GET", "/read/1").status);
+    }
+
+    void a_pause_asked_for_without_an_id_is_kept()
+    {
+        edge->add_server(
+            [this](const std::string& it)
+            {
+                auto refusal = refusal_without_id("503 Full");
+                refusal.insert(refusal.find("\r\n") + 2, "Retry-After: 60\r\n");
+                return scripted_response{
+                    seen++ == 0 ? echo_response(it, "sound") : refusal};
+            });
+        edge->publish();
+        CPPUNIT_ASSERT_EQUAL(200, send("GET", "/read/1").status);
+        CPPUNIT_ASSERT_EQUAL(502, send("GET", "/read/1").status);
+        CPPUNIT_ASSERT_EQUAL(503, send("GET", "/read/1").status);
+        CPPUNIT_ASSERT_EQUAL(2, seen.load());
+    }
+
     void servers_of_a_platform_without_seals_are_served()
     {
         edge->adapter.headers.response_seal.clear();
--- a/test/support/raw_server.cpp
+++ b/test/support/raw_server.cpp
@@ -117,6 +117,12 @@
         from.received.erase(0, *length);
         send(from.socket, response.bytes.data(), response.bytes.size(),
              MSG_NOSIGNAL);
+        if (!response.later.empty())
+        {
+            std::this_thread::sleep_for(response.pause);
+            send(from.socket, response.later.data(), response.later.size(),
+                 MSG_NOSIGNAL);
+        }
         if (response.close)
             return false;
     }
--- a/test/support/raw_server.hpp
+++ b/test/support/raw_server.hpp
@@ -5,6 +5,7 @@
 // request, also nothing or a part, and when a connection closes.
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -18,6 +19,9 @@
 {
     std::string bytes;
     bool close = false;
+    // Sent after the pause, in which no other request is answered.
+    std::string later;
+    std::chrono::milliseconds pause{0};
 };
 
 // Returns the bytes of a complete response with this status line and body.
