Send no body after HEAD, nor with 204 and 304

A HEAD that was served got "Content-Length: 0", and 204 had a length.

Cause: responses that this process makes have a text body whatever the method, and the front connection wrote it.

finish_response is now the one place that sets the length of a response. It knows the method, keeps the length that a body would have after GET and removes the body.

--- a/src/edge/request_flow.cpp
+++ b/src/edge/request_flow.cpp
@@ -737,7 +737,10 @@
 {
     const auto& names = context.platform.headers;
     const auto status = response.result_int();
+    const std::string length(response[proxy::http::field::content_length]);
     proxy::remove_connection_headers(response);
+    if (ex->request.method() == proxy::http::verb::head && !length.empty())
+        response.set(proxy::http::field::content_length, length);
     response.erase(names.server_load);
     end(status, to_string(run_outcome::result), "answered");
     proxy::respond(*ex, std::move(response));
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -321,6 +321,8 @@
 {
     const auto ex = std::make_shared<exchange>();
     ex->response = make_response(status, text);
+    if (incoming && incoming->get().method() == http::verb::head)
+        ex->request.method(http::verb::head);
     if (status == 503)
         ex->response->set(http::field::retry_after, overload_retry_after_s);
     ++shared->open_exchanges;
@@ -623,8 +625,7 @@
             last_request_read = true;
         const bool last = last_request_read && pending.size() == 1;
         auto& response = *ex->response;
-        response.keep_alive(!last);
-        response.prepare_payload();
+        finish_response(response, ex->request.method(), !last);
         write_start = now();
         last_write = write_start;
         if (all_received())
--- a/src/proxy/messages.cpp
+++ b/src/proxy/messages.cpp
@@ -56,6 +56,26 @@
     return response;
 }
 
+void finish_response(response_message& response, http::verb request_method,
+                     bool keep_alive)
+{
+    response.keep_alive(keep_alive);
+    const bool never_has_body = response.result_int() / 100 == 1 ||
+                                response.result() == http::status::no_content ||
+                                response.result() == http::status::not_modified;
+    if (!never_has_body && request_method != http::verb::head)
+    {
+        response.prepare_payload();
+        return;
+    }
+    if (never_has_body)
+        response.erase(http::field::content_length);
+    else if (!response.body().empty())
+        response.content_length(response.body().size());
+    response.erase(http::field::transfer_encoding);
+    response.body().clear();
+}
+
 std::string_view header_value(const http::fields& fields, std::string_view name)
 {
     const auto it = fields.find(to_beast(name));
--- a/src/proxy/messages.hpp
+++ b/src/proxy/messages.hpp
@@ -84,6 +84,13 @@
 // Returns a plain-text response that this process generates itself.
 response_message make_response(unsigned status, std::string_view text);
 
+// Sets what the header of a response says of its length and of the connection.
+// Removes the body if none may follow the header: after a HEAD request, whose
+// response keeps the length of the body or the one that its header gives, and
+// with the statuses 1xx, 204 and 304.
+void finish_response(response_message& response, http::verb request_method,
+                     bool keep_alive);
+
 // Returns the value of the first header field with this name, or an empty view
 // if there is none. The view refers to memory of `fields`.
 std::string_view header_value(const http::fields& fields,
