Refuse requests whose length is in doubt

It needed a Transfer-Encoding that does not end with chunked: the upload ran with an empty body and the rest as the next request.

Cause: the HTTP parser takes a request with another coding and without a length for one without a body, and nothing checked the header behind it.

proxy/message_length decides the length of a message from its header alone (RFC 9112, sections 6.1 to 6.3). What leaves a doubt is an error: 400, or 501 for a coding that we don't know, nothing is passed on, and the connection ends. So are folded fields, which RFC 9112, section 5.2 lets a server refuse. All listeners of parsleyplank-edge use it, and calls to servers too: a response with another coding reached callers without the field that says so. event=framing_refused and a gauge count the reasons. parsleyplank-entry has a front that refuses all of these (request_head).

--- a/src/edge/traffic_plane.cpp
+++ b/src/edge/traffic_plane.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <log4cplus/loggingmacros.h>
+#include <sstream>
 
 namespace parsleyplank::edge
 {
@@ -287,6 +288,7 @@
     set("idle_callers_closed", counts.closed_for_others);
     set("callers_refused", counts.refused);
     report_limits();
+    report_framing();
     set("requests_cut_off_unanswered", front.cut().unanswered);
     set("requests_cut_off_unreceived", front.cut().unreceived);
     const auto accept_failing = front.accept_failing_time();
@@ -349,6 +351,27 @@
     reported_memory = sum;
 }
 
+void traffic_plane::report_framing()
+{
+    proxy::framing_counts sum;
+    for (const auto& listener : listeners)
+        for (const auto& [fault, n] : listener->framing())
+            sum[fault] += n;
+    std::ostringstream changes;
+    for (const auto fault : proxy::all_framing_faults)
+    {
+        const std::string name(to_string(fault));
+        const auto n = sum[fault];
+        counters.set("requests_refused_for_framing", "fault", name,
+                     static_cast<double>(n));
+        if (n > reported_framing[fault])
+            changes << ' ' << name << '=' << n - reported_framing[fault];
+    }
+    if (!changes.str().empty())
+        LOG4CPLUS_WARN(context.log, "event=framing_refused" << changes.str());
+    reported_framing = sum;
+}
+
 void traffic_plane::sweep()
 {
     pool.sweep();
--- a/src/edge/traffic_plane.hpp
+++ b/src/edge/traffic_plane.hpp
@@ -62,6 +62,9 @@
     void report_load();
     // Reports what was done for lack of memory.
     void report_limits();
+    // Logs and exports the requests that were refused because the length of
+    // their bodies is in doubt.
+    void report_framing();
 
     const adapter& platform;
     telemetry::metrics& counters;
@@ -79,6 +82,7 @@
     // What was last reported of the connections of callers.
     proxy::connection_counts reported;
     proxy::memory_counts reported_memory;
+    proxy::framing_counts reported_framing;
     std::vector<std::unique_ptr<proxy::front_listener>> listeners;
     std::thread thread;
 };
--- a/src/proxy/front_connection.cpp
+++ b/src/proxy/front_connection.cpp
@@ -382,6 +382,12 @@
         queue_error_response(503, "too many connections");
         co_return false;
     }
+    if (const auto fault = ec ? std::nullopt : find_framing_fault(parser))
+    {
+        ++shared->framing[*fault];
+        queue_error_response(status_of(*fault), to_string(*fault));
+        co_return false;
+    }
     const auto memory = std::make_shared<memory_reservation>(
         options.bodies, options.bodies->limit() / 2, [this] { give_way(); },
         [this] { return may_give_way(); });
@@ -432,15 +438,26 @@
     co_return true;
 }
 
+std::optional<framing_fault>
+front_connection::find_framing_fault(const request_parser& parser) const
+{
+    if (incoming_folded)
+        return framing_fault::folded_field;
+    return fault_of(request_length(parser.get()));
+}
+
 asio::awaitable<error_code>
 front_connection::read_header(request_parser& parser)
 {
     error_code ec;
+    fold_detector folds;
     // The parser decodes each field as soon as its line is complete.
     std::size_t parsed = 0;
     while (!parser.is_header_done())
     {
         const auto n_parsed = parser.put(buffer.data(), ec);
+        incoming_folded = folds.add(
+            {static_cast<const char*>(buffer.data().data()), n_parsed});
         buffer.consume(n_parsed);
         parsed += n_parsed;
         if (parsed >= counted_header_bytes)
--- a/src/proxy/front_connection.hpp
+++ b/src/proxy/front_connection.hpp
@@ -12,11 +12,12 @@
 #include <parsleyplank/proxy/connection_memory.hpp>
 #include <parsleyplank/proxy/descriptor_pool.hpp>
 #include <parsleyplank/proxy/loop_monitor.hpp>
-#include <parsleyplank/proxy/messages.hpp>
+#include <parsleyplank/proxy/message_length.hpp>
 #include <parsleyplank/steering/traffic_config.hpp>
 
 #include <deque>
 #include <limits>
+#include <map>
 
 namespace parsleyplank::proxy
 {
@@ -69,6 +70,9 @@
     std::uint64_t paused = 0;
 };
 
+// Requests that were refused because the length of their bodies is in doubt.
+using framing_counts = std::map<framing_fault, std::uint64_t>;
+
 // State shared by all connections of one listener.
 struct front_shared
 {
@@ -87,6 +91,7 @@
     std::size_t open_exchanges = 0;
     cut_counts cut;
     memory_counts memory;
+    framing_counts framing;
 };
 
 using request_parser = http::request_parser<http::string_body>;
@@ -146,6 +151,10 @@
     // Reads one request and accepts it. Returns false if none was accepted,
     // also when an error response has been queued.
     asio::awaitable<bool> read_request();
+    // Returns why the length of the body is in doubt, once the header has been
+    // read.
+    std::optional<framing_fault>
+    find_framing_fault(const request_parser& parser) const;
     // Reads the header of a request and reserves memory for what is read ahead
     // and for the fields. Fails with no_buffer_space if there is none left.
     asio::awaitable<error_code> read_header(request_parser& parser);
@@ -196,6 +205,8 @@
     memory_reservation held;
     // Parser of the request that is received.
     std::optional<request_parser> incoming;
+    // Whether a field of its header is continued on a second line.
+    bool incoming_folded = false;
     // Memory of the request that is received, and of the pending exchanges.
     std::size_t incoming_bytes = 0;
     std::size_t pending_bytes = 0;
--- a/src/proxy/front_listener.cpp
+++ b/src/proxy/front_listener.cpp
@@ -128,6 +128,11 @@
     return n;
 }
 
+const framing_counts& front_listener::framing() const
+{
+    return shared->framing;
+}
+
 const memory_counts& front_listener::memory() const
 {
     return shared->memory;
--- a/src/proxy/front_listener.hpp
+++ b/src/proxy/front_listener.hpp
@@ -67,6 +67,8 @@
 
     const memory_counts& memory() const;
 
+    const framing_counts& framing() const;
+
     // Returns the number of requests that are being received or whose responses
     // callers have not received.
     std::size_t open_requests() const;
--- a/src/proxy/upstream_call.cpp
+++ b/src/proxy/upstream_call.cpp
@@ -1,3 +1,4 @@
+#include <parsleyplank/proxy/message_length.hpp>
 #include <parsleyplank/proxy/socket_state.hpp>
 #include <parsleyplank/proxy/upstream_call.hpp>
 
@@ -319,6 +320,8 @@
                                      parser, store_error(ec));
     if (!ec && !is_known_status(parser.get().result_int()))
         ec = http::error::bad_status;
+    if (!ec && fault_of(response_length(parser.get(), message.method())))
+        ec = http::error::bad_transfer_encoding;
     co_return ec;
 }
 
--- a/test/fuzz/text_targets.cpp
+++ b/test/fuzz/text_targets.cpp
@@ -4,6 +4,7 @@
 #include <parsleyplank/dataplane/request_head.hpp>
 #include <parsleyplank/entry/caller_handler.hpp>
 #include <parsleyplank/entry/settings.hpp>
+#include <parsleyplank/proxy/message_length.hpp>
 #include <parsleyplank/store/http_instance_list.hpp>
 
 #include <nlohmann/json.hpp>
@@ -123,6 +124,31 @@
     }
 }
 
+// Checks that the parser reads a body exactly as the length that is decided for
+// it says.
+void parse_edge_request(std::string_view input)
+{
+    proxy::http::request_parser<proxy::http::string_body> parser;
+    parser.eager(false);
+    proxy::error_code ec;
+    const auto n = parser.put(proxy::asio::buffer(input), ec);
+    if (ec || !parser.is_header_done())
+        return;
+    const auto& header = parser.get();
+    const auto length = proxy::request_length(header);
+    if (proxy::fault_of(length))
+        return;
+    const bool chunked = std::holds_alternative<proxy::chunked_body>(length);
+    if (parser.chunked() != chunked)
+        throw broken_contract("chunked or not is in doubt");
+    const auto* fixed = std::get_if<proxy::fixed_length>(&length);
+    if (!chunked &&
+        parser.content_length().value_or(0) != (fixed ? fixed->bytes : 0))
+        throw broken_contract("the length is in doubt");
+    if (n > input.size())
+        throw broken_contract("read past the end");
+}
+
 // Input: path, query and key, each on a line.
 void filter_line(std::string_view input)
 {
@@ -162,6 +188,14 @@
              parse_lookup},
             {"instance list", {list.dump()}, parse_list},
             {"request head", {sample_request}, parse_head},
+            {"request to the edge",
+             {sample_request + std::string("\r\n"),
+              "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+              "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+              "Content-Length: 7\r\n\r\n",
+              "POST /a HTTP/1.0\r\nContent-Length: 7\r\n"
+              "Content-Length: 7\r\n\r\n"},
+             parse_edge_request},
             {"header and target filter",
              {"/a/b\nx=1&demo-key=%64emo&k=demo-key\ndemo-key",
               "/demo%2dkey\na=demo%252dkey&b\ndemo-key", "/a\nb=%25\n%25",
