--- a/test/fuzz/fuzz.cpp
+++ b/test/fuzz/fuzz.cpp
@@ -109,7 +109,12 @@
     int failed = 0;
     for (const auto& t : targets)
         if (t.name.find(only) != std::string::npos)
-            ++(run(t, seed, iterations) ? passed : failed);
+        {
+            const bool sound = run(t, seed, iterations);
+            ++(sound ? passed : failed);
+            if (!sound)
+                std::cout << "failed: " << t.name << '\n';
+        }
     std::cout << passed << " passed, " << failed << " failed" << std::endl;
     return failed == 0 ? 0 : 1;
 }
