--- a/test/correctness/edge_head_responses.cpp
+++ b/test/correctness/edge_head_responses.cpp
@@ -41,7 +41,7 @@
     {
         raw_connection caller(port);
         caller.send(head);
-        const auto first = caller.receive(false);
+        auto first = caller.receive(false);
         caller.send(get);
         CPPUNIT_ASSERT_EQUAL(expected, caller.receive().status);
         return first;
